--- /dev/null
+++ b/internal/broker/broker.go
@@ -0,0 +1,245 @@
+// Package broker is the core of mothrouter. It deals in requests, attempts and outcomes and knows no wire.
+// One goroutine owns the Decider and all state; fronts, links and the server list post what happened to it.
+// The Decider decides; this package carries out, and is the last guard of the rules.
+package broker
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"cloverhook"
+)
+
+const (
+	answerLead = 8 * time.Millisecond // before the client's time is up, the last moment for an answer
+)
+
+// Options are what the broker itself has to know of a deployment.
+type Options struct {
+	Settings cloverhook.Settings
+	OpenCap  int           // queries and parts held at most; 0: no limit
+	Log      *slog.Logger  // nil: the default one
+	ProbeFor time.Duration // how long a probe's answer is waited for
+}
+
+// Client is a front's end of one query.
+type Client interface {
+	// Finish hands over the final answer, once. It is called by the loop and must not block.
+	Finish(Result)
+}
+
+// Link carries calls and probes to record servers. Its methods are called by the loop and must not block.
+type Link interface {
+	// Send starts a call. The link asks Call.Begin just before the first byte and tells the end by Call.Done.
+	Send(*Call)
+	// Cancel tells that a call is over. The link tells the server, if the server may have heard of it.
+	Cancel(*Call)
+	// Probe asks a server how it is.
+	Probe(*Probe)
+}
+
+// Broker is the core. Make it with New, then Run it.
+type Broker struct {
+	opt     Options
+	decider cloverhook.Decider
+	link    Link
+	clock   clock
+	log     *slog.Logger
+	inbox   inbox
+	stopped chan struct{}
+
+	// Owned by the loop.
+	batch   []cloverhook.Event
+	lastID  cloverhook.RequestID
+	open    int // queries and parts held
+	queries map[cloverhook.RequestID]*query
+	parts   map[cloverhook.RequestID]*part
+	byName  map[string]*query
+	servers map[string]*Server
+	timers  map[*time.Timer]struct{}
+	listed  bool
+	idle    []chan struct{} // closed once no query is held
+}
+
+// New makes a broker that decides with d and sends by link.
+func New(opt Options, d cloverhook.Decider, link Link) *Broker {
+	if opt.Log == nil {
+		opt.Log = slog.Default()
+	}
+	if opt.ProbeFor <= 0 {
+		opt.ProbeFor = 250 * time.Millisecond
+	}
+	return &Broker{
+		opt: opt, decider: d, link: link, clock: newClock(), log: opt.Log,
+		inbox: inbox{wake: make(chan struct{}, 1)}, stopped: make(chan struct{}),
+		queries: map[cloverhook.RequestID]*query{}, parts: map[cloverhook.RequestID]*part{},
+		byName: map[string]*query{}, servers: map[string]*Server{}, timers: map[*time.Timer]struct{}{},
+	}
+}
+
+// Run is the loop. It returns when ctx ends; what is held then is lost, so Drain first.
+func (b *Broker) Run(ctx context.Context) {
+	defer close(b.stopped)
+	defer func() {
+		for t := range b.timers {
+			t.Stop()
+		}
+	}()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-b.inbox.wake:
+		}
+		for _, f := range b.inbox.take() {
+			f()
+		}
+		b.decide()
+	}
+}
+
+// inbox holds what the loop has to run. Posting never waits, so that neither the loop nor a link that holds
+// a lock can be stopped by the other. It is bounded by those who post: each call, timer, probe, list and
+// client connection has one event in it at most.
+type inbox struct {
+	mu    sync.Mutex
+	funcs []func()
+	wake  chan struct{}
+}
+
+func (i *inbox) take() []func() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	funcs := i.funcs
+	i.funcs = nil
+	return funcs
+}
+
+// post has the loop run f.
+func (b *Broker) post(f func()) {
+	b.inbox.mu.Lock()
+	b.inbox.funcs = append(b.inbox.funcs, f)
+	b.inbox.mu.Unlock()
+	select {
+	case b.inbox.wake <- struct{}{}:
+	default:
+	}
+}
+
+// decide hands the batch to the Decider and carries out its actions. What an action brings about at once
+// is the next batch's.
+func (b *Broker) decide() {
+	for len(b.batch) > 0 {
+		events := b.batch
+		b.batch = nil
+		for _, a := range b.decider.Handle(b.clock.now(), events) {
+			b.perform(a)
+		}
+	}
+	if len(b.queries) == 0 {
+		for _, c := range b.idle {
+			close(c)
+		}
+		b.idle = nil
+	}
+}
+
+func (b *Broker) tell(e cloverhook.Event) { b.batch = append(b.batch, e) }
+
+// perform carries out one action. What the rules forbid is not done, whoever asks for it.
+func (b *Broker) perform(action cloverhook.Action) {
+	switch a := action.(type) {
+	case cloverhook.Send:
+		b.send(a)
+	case cloverhook.Cancel:
+		if pt := b.parts[a.ID]; pt != nil && pt.live != nil && pt.live.number == a.Attempt {
+			b.giveUp(pt.live, cloverhook.Cancelled)
+		}
+	case cloverhook.Answer:
+		if q := b.queries[a.ID]; q != nil {
+			b.finish(q, q.answer(a.Whole))
+		}
+	case cloverhook.Refuse:
+		if q := b.queries[a.ID]; q != nil {
+			b.finish(q, q.refusal(a.RetryAfter))
+		}
+	case cloverhook.Fail:
+		if q := b.queries[a.ID]; q != nil {
+			b.finish(q, Result{Outcome: Failed})
+		}
+	case cloverhook.SetTimer:
+		b.after(b.clock.until(a.At), func() { b.tell(cloverhook.Timer{Token: a.Token}) })
+	case cloverhook.Probe:
+		b.probe(a.Server)
+	case cloverhook.Log:
+		b.log.Info(a.Line)
+	case cloverhook.Watch, cloverhook.Fetch:
+		// The list is pushed to a real broker: its watch is always on.
+	}
+}
+
+// after runs f on the loop after d. The loop calls it. The timer is the wait's own; the returned function
+// stops it.
+func (b *Broker) after(d time.Duration, f func()) (stop func()) {
+	var t *time.Timer
+	t = time.AfterFunc(max(d, 0), func() {
+		b.post(func() {
+			if _, waiting := b.timers[t]; waiting {
+				delete(b.timers, t)
+				f()
+			}
+		})
+	})
+	b.timers[t] = struct{}{}
+	return func() {
+		t.Stop()
+		delete(b.timers, t)
+	}
+}
+
+// Serving tells whether the broker knows record servers and so can serve.
+func (b *Broker) Serving() bool {
+	ready := make(chan bool, 1)
+	b.post(func() { ready <- b.listed })
+	select {
+	case r := <-ready:
+		return r
+	case <-b.stopped:
+		return false
+	}
+}
+
+// Drain waits until no query is held, or ctx ends.
+func (b *Broker) Drain(ctx context.Context) {
+	c := make(chan struct{})
+	b.post(func() {
+		if len(b.queries) == 0 {
+			close(c)
+			return
+		}
+		b.idle = append(b.idle, c)
+	})
+	select {
+	case <-c:
+	case <-ctx.Done():
+	case <-b.stopped:
+	}
+}
+
+// clock counts Unix seconds, anchored once and advanced monotonically: a step of the system's clock
+// would otherwise move deadlines.
+type clock struct{ anchor time.Time }
+
+func newClock() clock { return clock{time.Now()} }
+
+func (c clock) at(t time.Time) float64 {
+	return float64(c.anchor.UnixNano())/1e9 + t.Sub(c.anchor).Seconds()
+}
+
+func (c clock) now() float64 { return c.at(time.Now()) }
+
+func (c clock) until(t float64) time.Duration { return seconds(t - c.now()) }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/broker/call.go
@@ -0,0 +1,211 @@
+package broker
+
+import (
+	"sync/atomic"
+	"time"
+
+	"cloverhook"
+)
+
+// Server is a record server as a link sees it.
+type Server struct {
+	ID, Addr string
+	Cell     int
+	leaving  atomic.Bool // draining or gone; links read it
+	ready    bool        // the loop's
+}
+
+// Reply is how a call ended, as the link saw it.
+type Reply struct {
+	Status cloverhook.Status
+	Load   cloverhook.Load
+	Value  []byte // of a served part; must outlive the call
+}
+
+// Call is one attempt of a part at a record server.
+type Call struct {
+	Query    string // the query's name
+	Shard    int
+	Unsafe   bool // it must not run twice
+	Text     []byte
+	Server   *Server
+	Addr     string
+	Deadline time.Time
+
+	b      *Broker
+	pt     *part
+	number int
+	sent   float64
+	state  atomic.Int32
+	stop   func() // the time-out's timer; the loop's
+}
+
+const (
+	callWaiting int32 = iota
+	callBegun         // its first byte is being written, or was
+	callOver
+)
+
+// Begin is asked just before the first byte of a call is written. If it returns false, nothing may be sent:
+// the call is over, its time is up, or its server drains or is gone. Guards against sends that have waited
+// for a connection longer than the rules allow. What ended here is told to the core.
+func (c *Call) Begin() bool {
+	if c.Server.leaving.Load() || !time.Now().Before(c.Deadline) {
+		c.Done(Reply{Status: cloverhook.NotSent, Load: cloverhook.NoLoad})
+		return false
+	}
+	return c.state.CompareAndSwap(callWaiting, callBegun)
+}
+
+// Over tells whether nobody waits for the call any more.
+func (c *Call) Over() bool { return c.state.Load() == callOver }
+
+func (c *Call) begun() bool { return c.state.Load() == callBegun }
+
+// Done tells how a call ended. Only the first end counts: a late answer to an attempt that was timed out or
+// cancelled must not end another, nor count.
+func (c *Call) Done(r Reply) {
+	if c.state.Swap(callOver) == callOver {
+		return
+	}
+	c.b.post(func() { c.b.ended(c, r) })
+}
+
+// send starts an attempt, if the rules allow it.
+func (b *Broker) send(a cloverhook.Send) {
+	pt := b.parts[a.ID]
+	if pt == nil {
+		return // its query has ended and nothing of it is out
+	}
+	c := &Call{b: b, pt: pt, number: pt.attempts, sent: b.clock.now()}
+	pt.attempts++
+	s := b.servers[a.Server]
+	if why := b.forbids(pt, s); why != "" {
+		b.log.Warn("a send was stopped", "why", why, "server", a.Server, "query", pt.q.req.ID)
+		b.tell(cloverhook.Ended{
+			ID: pt.id, Attempt: c.number, Server: a.Server, Status: cloverhook.NotSent,
+			Closed: pt.in || pt.over, Load: cloverhook.NoLoad,
+		})
+		return
+	}
+	q := pt.q
+	c.Query, c.Shard, c.Text = q.req.ID, pt.Shard, q.req.Text
+	c.Unsafe = q.class.Repeat == cloverhook.RepeatUnsafe
+	c.Server, c.Addr = s, s.Addr
+	c.Deadline = q.deadline
+	if t := time.Now().Add(seconds(a.Timeout)); a.Timeout > 0 && t.Before(c.Deadline) {
+		c.Deadline = t
+	}
+	pt.live = c
+	c.stop = b.after(time.Until(c.Deadline), func() { b.giveUp(c, cloverhook.TimedOut) })
+	b.link.Send(c)
+}
+
+// forbids names the rule that a send would break; "" means that it may go.
+func (b *Broker) forbids(pt *part, s *Server) string {
+	set := &b.opt.Settings
+	switch {
+	case pt.over || pt.in:
+		return "the part is over"
+	case pt.live != nil:
+		return "an attempt of the part is out"
+	case set.MaxAttempts > 0 && pt.attempts > set.MaxAttempts:
+		return "the part has had all its attempts"
+	case pt.mayRun && pt.q.class.Repeat == cloverhook.RepeatUnsafe:
+		return "the part may have run and must not run twice"
+	case s == nil || !s.ready:
+		return "the server drains, is gone or was never listed"
+	case !holds(set, s.Cell, pt.Shard):
+		return "the server does not hold the shard"
+	case !time.Now().Before(pt.q.deadline):
+		return "the client's time is up"
+	}
+	return ""
+}
+
+// holds tells whether the servers of a cell hold a shard.
+func holds(set *cloverhook.Settings, cell, shard int) bool {
+	if set.Cells <= 0 {
+		return true
+	}
+	ahead := (cell - shard%set.Cells + set.Cells) % set.Cells
+	return ahead < max(set.Reach, 1)
+}
+
+// giveUp ends the wait for a call. One whose first byte was never written cannot have run.
+func (b *Broker) giveUp(c *Call, status cloverhook.Status) {
+	switch c.state.Swap(callOver) {
+	case callOver:
+		return // its end is on the way here
+	case callWaiting:
+		status = cloverhook.NotSent
+	}
+	b.link.Cancel(c)
+	b.ended(c, Reply{Status: status, Load: cloverhook.NoLoad})
+}
+
+// ended books the end of a call and tells the Decider.
+func (b *Broker) ended(c *Call, r Reply) {
+	pt := c.pt
+	c.stop()
+	pt.live = nil
+	switch r.Status {
+	case cloverhook.Overloaded, cloverhook.Unreachable, cloverhook.NotSent:
+	default:
+		pt.mayRun = true
+	}
+	if r.Status == cloverhook.OK && !pt.over {
+		pt.in, pt.value = true, r.Value
+	}
+	if pt.over {
+		delete(b.parts, pt.id)
+	}
+	b.tell(cloverhook.Ended{
+		ID: pt.id, Attempt: c.number, Server: c.Server.ID, Status: r.Status,
+		Latency: b.clock.now() - c.sent, Closed: pt.in || pt.over, Load: r.Load,
+	})
+}
+
+// Probe asks a record server how it is.
+type Probe struct {
+	Server   *Server
+	Addr     string
+	Load     bool // the report is wanted
+	Deadline time.Time
+
+	b    *Broker
+	sent float64
+	over atomic.Bool
+	stop func()
+}
+
+// Done tells a probe's result. Only the first counts.
+func (p *Probe) Done(r Reply) {
+	if !p.over.Swap(true) {
+		p.b.post(func() { p.b.probed(p, r) })
+	}
+}
+
+func (b *Broker) probe(id string) {
+	s := b.servers[id]
+	if s == nil || !s.ready {
+		return
+	}
+	p := &Probe{
+		b: b, Server: s, Addr: s.Addr, Load: b.opt.Settings.ReportMode != cloverhook.ReportNone,
+		sent: b.clock.now(), Deadline: time.Now().Add(b.opt.ProbeFor),
+	}
+	p.stop = b.after(b.opt.ProbeFor, func() {
+		if !p.over.Swap(true) {
+			b.probed(p, Reply{Status: cloverhook.TimedOut, Load: cloverhook.NoLoad})
+		}
+	})
+	b.link.Probe(p)
+}
+
+func (b *Broker) probed(p *Probe, r Reply) {
+	p.stop()
+	b.tell(cloverhook.Probed{
+		Server: p.Server.ID, Status: r.Status, Latency: b.clock.now() - p.sent, Load: r.Load,
+	})
+}
--- /dev/null
+++ b/internal/broker/query.go
@@ -0,0 +1,192 @@
+package broker
+
+import (
+	"slices"
+	"time"
+
+	"cloverhook"
+)
+
+// sumSlack is the rounding of shares; the rules allow 0.0001.
+const sumSlack = 1e-6
+
+// Request is one query as a front took it. The core keeps Text and Parts: they must outlive the call.
+type Request struct {
+	ID       string // the client's name for it
+	Class    int
+	Retry    bool
+	Arrived  time.Time
+	Patience time.Duration // how long the client waits
+	Parts    []Part
+	Text     []byte // what each part carries
+}
+
+// Part is one part of a request.
+type Part struct {
+	Shard int
+	Share float64 // of the whole answer
+	Work  float64 // seconds expected; 0: unknown
+	Route uint64
+}
+
+// Outcome is how a query ended.
+type Outcome int
+
+const (
+	Answered  Outcome = iota
+	Refused           // no unsafe part of it can have run: trying again is harmless
+	Failed            // nothing is promised
+	Overdue           // failed because its time was up
+	Duplicate         // a query of the same name is still held; this one was not taken
+)
+
+// Result is a query's final answer.
+type Result struct {
+	Outcome    Outcome
+	Whole      bool
+	Values     []Value // of the parts that are in
+	RetryAfter float64 // seconds; 0: no advice
+}
+
+// Value is what a record server gave for a part.
+type Value struct {
+	Shard int
+	Data  []byte
+}
+
+type query struct {
+	req      *Request
+	client   Client
+	id       cloverhook.RequestID
+	class    cloverhook.Class
+	parts    []*part
+	deadline time.Time
+	stop     func() // the deadline's timer
+}
+
+type part struct {
+	Part
+	id       cloverhook.RequestID
+	q        *query
+	attempts int
+	live     *Call
+	mayRun   bool // an attempt that ended may have run
+	in       bool
+	over     bool // its query has ended
+	value    []byte
+}
+
+// Take hands a query to the core. The client hears of its end once, unless it leaves before.
+func (b *Broker) Take(r *Request, c Client) {
+	b.post(func() { b.take(r, c) })
+}
+
+// Leave tells that the client of a query has gone away.
+func (b *Broker) Leave(r *Request) {
+	b.post(func() {
+		if q := b.byName[r.ID]; q != nil && q.req == r {
+			b.forget(q)
+			b.tell(cloverhook.ClientGone{ID: q.id})
+		}
+	})
+}
+
+func (b *Broker) take(r *Request, c Client) {
+	// Part ids on the wire are made of the query's name: two of one name could not be told apart.
+	if b.byName[r.ID] != nil {
+		c.Finish(Result{Outcome: Duplicate})
+		return
+	}
+	if b.opt.OpenCap > 0 && b.open+1+len(r.Parts) > b.opt.OpenCap {
+		c.Finish(Result{Outcome: Refused, RetryAfter: b.advice()})
+		return
+	}
+	q := &query{req: r, client: c, id: b.nextID(), class: b.opt.Settings.Classes[r.Class]}
+	q.deadline = r.Arrived.Add(r.Patience)
+	b.queries[q.id], b.byName[r.ID] = q, q
+	b.open += 1 + len(r.Parts)
+	work := 0.0
+	for _, p := range r.Parts {
+		pt := &part{Part: p, id: b.nextID(), q: q}
+		q.parts = append(q.parts, pt)
+		b.parts[pt.id] = pt
+		work += p.Work
+	}
+	// Guards against a query that the Decider forgets or ends too late: whatever happens, there is a
+	// final answer before the client's time is up.
+	q.stop = b.after(time.Until(q.deadline)-answerLead, func() {
+		b.finish(q, Result{Outcome: Overdue})
+		b.tell(cloverhook.ClientGone{ID: q.id})
+	})
+	b.tell(cloverhook.Query{
+		ID: q.id, Number: int64(q.id), Class: r.Class, Parts: len(r.Parts),
+		Deadline: b.clock.at(q.deadline), Retry: r.Retry, Work: work,
+	})
+	for _, pt := range q.parts {
+		b.tell(cloverhook.Part{
+			ID: pt.id, Number: int64(q.id), Shard: pt.Shard, Weight: pt.Share, Key: pt.Route, Work: pt.Work,
+		})
+	}
+}
+
+func (b *Broker) nextID() cloverhook.RequestID {
+	b.lastID++
+	return b.lastID
+}
+
+// advice is when a client that is refused for want of room should come back.
+func (b *Broker) advice() float64 {
+	if b.opt.Settings.RetryAfter {
+		return b.opt.Settings.MaxWait
+	}
+	return 0
+}
+
+// finish gives a query its final answer and forgets it.
+func (b *Broker) finish(q *query, r Result) {
+	b.forget(q)
+	q.client.Finish(r)
+}
+
+// forget drops a query. Its attempts may still be out; each part is kept until its attempt has ended.
+func (b *Broker) forget(q *query) {
+	q.stop()
+	delete(b.queries, q.id)
+	delete(b.byName, q.req.ID)
+	b.open -= 1 + len(q.parts)
+	for _, pt := range q.parts {
+		pt.over = true
+		if pt.live == nil {
+			delete(b.parts, pt.id)
+		}
+	}
+}
+
+// answer makes the answer from the parts that are in. Under the class's floor there is none, and it is
+// marked whole only if it is, whatever the Decider says.
+func (q *query) answer(whole bool) Result {
+	r := Result{Outcome: Answered}
+	in := 0.0
+	for _, pt := range q.parts {
+		if pt.in {
+			in += pt.Share
+			r.Values = append(r.Values, Value{pt.Shard, pt.value})
+		}
+	}
+	if in < min(q.class.Floor, q.class.Need)-sumSlack {
+		return Result{Outcome: Failed}
+	}
+	r.Whole = whole && in >= q.class.Need-sumSlack
+	return r
+}
+
+// refusal refuses a query, unless an unsafe part of it may have run: then it has failed.
+func (q *query) refusal(retryAfter float64) Result {
+	ran := slices.ContainsFunc(q.parts, func(pt *part) bool {
+		return pt.mayRun || pt.in || pt.live != nil && pt.live.begun()
+	})
+	if ran && q.class.Repeat != cloverhook.RepeatSafe {
+		return Result{Outcome: Failed}
+	}
+	return Result{Outcome: Refused, RetryAfter: retryAfter}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,207 @@
+// Package config alone reads, checks and defaults the configuration. Its errors name the faulty key.
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"cloverhook"
+	"cloverhook/internal/broker"
+	"cloverhook/internal/discovery"
+	"cloverhook/internal/wire"
+)
+
+// Config is all that a broker is told.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	MemoryMB  int
+	Sockets   int
+
+	Settings cloverhook.Settings
+	Classes  map[string]int // class by name
+	Names    discovery.Names
+	Known    broker.List // the list as last known
+	Version  int64       // its version
+
+	OpenCap        int
+	Shards         int
+	Streams        int
+	ConnIdle       time.Duration
+	ConnectTimeout time.Duration
+}
+
+const (
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+	leastSockets    = 64
+)
+
+// file is PROXY_CONFIG.
+type file struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		MemoryMB *int `json:"memory_mb"`
+		Sockets  *int `json:"sockets"`
+	} `json:"limits"`
+	Known    *discovery.Message `json:"known"`
+	Settings json.RawMessage    `json:"settings"`
+}
+
+// settings is what a real broker needs of the settings beside what the module does.
+type settings struct {
+	Caps struct {
+		OpenCap        int      `json:"openCap"`
+		ConnIdle       *float64 `json:"connIdleS"`
+		ConnectTimeout *float64 `json:"connectTimeoutS"`
+		Streams        *int     `json:"streamsPerConn"`
+	} `json:"caps"`
+	Classes []struct {
+		Name string `json:"name"`
+	} `json:"classes"`
+	Family struct {
+		Shards int `json:"slabs"`
+	} `json:"familyInfo"`
+	Kinds []string `json:"machineTypes"`
+	Zones []string `json:"zones"`
+}
+
+func bad(key, format string, args ...any) error {
+	return fmt.Errorf("%s: %s", key, fmt.Sprintf(format, args...))
+}
+
+// Load reads the environment, by getenv, and the file that PROXY_CONFIG names. The environment's
+// name and addresses win over the file's.
+func Load(getenv func(string) string) (*Config, error) {
+	path := getenv("PROXY_CONFIG")
+	if path == "" {
+		return nil, bad("PROXY_CONFIG", "is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, bad("PROXY_CONFIG", "%v", err)
+	}
+	var f file
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, bad("PROXY_CONFIG", "%v", err)
+	}
+	c := &Config{
+		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery,
+		MemoryMB: defaultMemoryMB, Sockets: defaultSockets,
+		ConnIdle: 15 * time.Second, ConnectTimeout: 250 * time.Millisecond, Streams: 1,
+	}
+	for key, v := range map[string]*string{
+		"PROXY_NAME": &c.Name, "PROXY_LISTEN": &c.Listen, "PROXY_DISCOVERY": &c.Discovery,
+	} {
+		if s := getenv(key); s != "" {
+			*v = s
+		}
+	}
+	if err := checkAddr("listen", c.Listen); err != nil {
+		return nil, err
+	}
+	if err := checkAddr("discovery", c.Discovery); err != nil {
+		return nil, err
+	}
+	if f.Seed != "" {
+		if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+			return nil, bad("seed", "cannot read %q as 16 hex digits", f.Seed)
+		}
+	}
+	if n := f.Limits.MemoryMB; n != nil {
+		if c.MemoryMB = *n; *n < 16 {
+			return nil, bad("limits.memory_mb", "%d is too little", *n)
+		}
+	}
+	if n := f.Limits.Sockets; n != nil {
+		if c.Sockets = *n; *n < leastSockets {
+			return nil, bad("limits.sockets", "%d is too little, at least %d", *n, leastSockets)
+		}
+	}
+	if err := c.settings(f.Settings); err != nil {
+		return nil, err
+	}
+	if f.Known != nil {
+		if c.Known, err = c.Names.List(*f.Known); err != nil {
+			return nil, bad("known", "%v", err)
+		}
+		c.Version = f.Known.Version
+	}
+	c.Known.Mode = cloverhook.ListCached
+	return c, nil
+}
+
+func checkAddr(key, addr string) error {
+	if addr == "" {
+		return bad(key, "is missing")
+	}
+	if _, _, err := net.SplitHostPort(addr); err != nil {
+		return bad(key, "%v", err)
+	}
+	return nil
+}
+
+// settings reads the settings, of which the module's part as the adapter does.
+func (c *Config) settings(text json.RawMessage) (err error) {
+	if len(text) == 0 {
+		return bad("settings", "is missing")
+	}
+	if c.Settings, err = wire.ParseSettings(string(text)); err != nil {
+		return bad("settings", "%v", err)
+	}
+	var s settings
+	if err := json.Unmarshal(text, &s); err != nil {
+		return bad("settings", "%v", err)
+	}
+	if len(s.Classes) == 0 {
+		return bad("settings.classes", "is missing or empty")
+	}
+	c.Classes = map[string]int{}
+	for i, class := range s.Classes {
+		if _, twice := c.Classes[class.Name]; class.Name == "" || twice {
+			return bad(fmt.Sprintf("settings.classes[%d].name", i), "%q is empty or stands twice", class.Name)
+		}
+		if c.Settings.Classes[i].Deadline <= 0 {
+			return bad(fmt.Sprintf("settings.classes[%d].deadlineS", i), "must be above 0")
+		}
+		c.Classes[class.Name] = i
+	}
+	if c.Settings.Cells <= 0 {
+		return bad("settings.familyInfo.cells", "must be above 0")
+	}
+	if c.OpenCap, c.Shards = s.Caps.OpenCap, s.Family.Shards; c.OpenCap < 0 {
+		return bad("settings.caps.openCap", "%d is negative", c.OpenCap)
+	}
+	c.Names = discovery.Names{Zones: s.Zones, Kinds: s.Kinds}
+	if n := s.Caps.Streams; n != nil {
+		if c.Streams = *n; *n < 1 {
+			return bad("settings.caps.streamsPerConn", "%d is below 1", *n)
+		}
+	}
+	for _, d := range []struct {
+		key string
+		v   *float64
+		to  *time.Duration
+	}{
+		{"settings.caps.connIdleS", s.Caps.ConnIdle, &c.ConnIdle},
+		{"settings.caps.connectTimeoutS", s.Caps.ConnectTimeout, &c.ConnectTimeout},
+	} {
+		if d.v == nil {
+			continue
+		}
+		if !(*d.v > 0) {
+			return bad(d.key, "must be above 0")
+		}
+		*d.to = time.Duration(*d.v * float64(time.Second))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,168 @@
+// Package discovery follows the server list: it drives httpwire's line machine over a socket.
+package discovery
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"slices"
+	"time"
+
+	"cloverhook"
+	"cloverhook/internal/broker"
+	"cloverhook/internal/httpwire"
+)
+
+const (
+	silence     = 5 * time.Second // an empty line comes every 2 s: without any, the watch may be broken
+	dialLimit   = time.Second
+	backOffFrom = 100 * time.Millisecond
+	backOffMost = 3 * time.Second
+)
+
+// Names translates the names of zones and kinds to their numbers in the settings.
+type Names struct{ Zones, Kinds []string }
+
+// Message is one object of the list in discovery's form.
+type Message struct {
+	Version int64   `json:"version"`
+	Full    bool    `json:"full"`
+	Servers []Entry `json:"servers"`
+}
+
+// Entry is one record server in discovery's form.
+type Entry struct {
+	ID        string  `json:"id"`
+	Addr      string  `json:"addr"`
+	Zone      string  `json:"zone"`
+	Kind      string  `json:"kind"`
+	Cell      int     `json:"cell"`
+	State     string  `json:"state"`
+	Weight    float64 `json:"weight"`
+	StartedMS float64 `json:"started_ms"`
+}
+
+var states = map[string]cloverhook.State{
+	"active": cloverhook.Ready, "leaving": cloverhook.Draining, "left": cloverhook.Gone,
+}
+
+// List translates a message for the core.
+func (n Names) List(m Message) (broker.List, error) {
+	l := broker.List{Mode: cloverhook.ListDelta, Version: m.Version}
+	if m.Full {
+		l.Mode = cloverhook.ListFull
+	}
+	for i, e := range m.Servers {
+		state, ok := states[e.State]
+		if !ok {
+			return l, fmt.Errorf("servers[%d].state: cannot read %q", i, e.State)
+		}
+		if e.ID == "" || e.Addr == "" && state != cloverhook.Gone {
+			return l, fmt.Errorf("servers[%d]: an entry without id or addr", i)
+		}
+		l.Servers = append(l.Servers, broker.ListEntry{
+			Server: cloverhook.Server{
+				ID: e.ID, Zone: slices.Index(n.Zones, e.Zone), Kind: slices.Index(n.Kinds, e.Kind),
+				Cell: e.Cell, State: state, Capacity: e.Weight, Started: e.StartedMS / 1000,
+			},
+			Addr: e.Addr,
+		})
+	}
+	return l, nil
+}
+
+// Watcher follows the list and hands its news to Update.
+type Watcher struct {
+	Addr   string
+	Names  Names
+	Since  int64 // version of the list as known
+	Update func(broker.List)
+	Log    *slog.Logger
+}
+
+// Run follows the list until ctx ends. When a watch breaks it starts another from the version last heard,
+// at once the first time, then less and less often: a directory that is down is not helped by more calls.
+func (w *Watcher) Run(ctx context.Context) {
+	wait := time.Duration(0)
+	for ctx.Err() == nil {
+		heard, err := w.watch(ctx)
+		if heard {
+			wait = 0
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		w.Log.Info("the watch of the server list ended", "err", err, "since", w.Since)
+		t := time.NewTimer(wait)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+		}
+		wait = min(max(2*wait, backOffFrom), backOffMost)
+	}
+}
+
+// watch follows one watch to its end and tells whether it brought anything.
+func (w *Watcher) watch(ctx context.Context) (heard bool, err error) {
+	d := net.Dialer{Timeout: dialLimit}
+	sock, err := d.DialContext(ctx, "tcp", w.Addr)
+	if err != nil {
+		return false, err
+	}
+	defer sock.Close()
+	defer context.AfterFunc(ctx, func() { sock.Close() })()
+	sock.SetDeadline(time.Now().Add(silence))
+	if _, err := fmt.Fprintf(sock, "GET /discovery/hosts?follow=1&since=%d HTTP/1.1\r\nHost: %s\r\n\r\n",
+		w.Since, w.Addr); err != nil {
+		return false, err
+	}
+	var in httpwire.LineReader
+	for {
+		n, err := sock.Read(in.Space())
+		if err != nil {
+			return heard, err
+		}
+		in.Filled(n)
+		sock.SetReadDeadline(time.Now().Add(silence))
+		for {
+			line, ok, err := in.Next()
+			if err != nil {
+				return heard, err
+			}
+			if !ok {
+				break
+			}
+			if in.Status() != 200 {
+				return heard, fmt.Errorf("discovery answers %d", in.Status())
+			}
+			heard = true
+			if len(line) == 0 {
+				continue
+			}
+			if err := w.take(line); err != nil {
+				return heard, err
+			}
+		}
+		if in.Done() {
+			return heard, errors.New("discovery ended the watch")
+		}
+	}
+}
+
+func (w *Watcher) take(line []byte) error {
+	var m Message
+	if err := json.Unmarshal(line, &m); err != nil {
+		return fmt.Errorf("a line of the watch: %w", err)
+	}
+	l, err := w.Names.List(m)
+	if err != nil {
+		return err
+	}
+	w.Since = m.Version
+	w.Update(l)
+	return nil
+}
--- /dev/null
+++ b/internal/frame/frame.go
@@ -0,0 +1,162 @@
+// Package frame is the protocol of record servers as a state machine. It is fed bytes and knows no socket:
+// a driver reads into Space, reports the count by Filled and takes what has become complete by Next.
+// What Next returns are slices of the buffer, good until the next call of Space.
+package frame
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+
+	"cloverhook"
+)
+
+const (
+	// MaxFrame is the longest frame that is read: a value that fits an answer, and its line.
+	MaxFrame   = 64<<10 + 1024
+	headerSize = 4
+	readSize   = 4 << 10
+)
+
+// Message is one frame from a record server.
+type Message struct {
+	Letter byte
+	Reply  Reply  // of R
+	Rest   []byte // of the others
+}
+
+// Reply is how a part ended.
+type Reply struct {
+	ID     []byte
+	Status cloverhook.Status
+	Load   cloverhook.Load
+	Value  []byte
+}
+
+// Reader reads frames.
+type Reader struct {
+	b    []byte
+	r, w int
+	err  error
+}
+
+// Space returns where to read the next bytes to. It ends what earlier messages refer to.
+func (d *Reader) Space() []byte {
+	if d.r > 0 {
+		d.w = copy(d.b, d.b[d.r:d.w])
+		d.r = 0
+	}
+	if len(d.b)-d.w < readSize/2 {
+		grown := make([]byte, max(readSize, 2*len(d.b)))
+		copy(grown, d.b[:d.w])
+		d.b = grown
+	}
+	return d.b[d.w:]
+}
+
+// Filled tells that n more bytes stand at the start of what Space returned.
+func (d *Reader) Filled(n int) { d.w += n }
+
+// Next returns the next message; ok is false where more bytes must come first. After an error the
+// connection cannot be read on.
+func (d *Reader) Next() (m Message, ok bool, err error) {
+	if d.err != nil {
+		return m, false, d.err
+	}
+	p := d.b[d.r:d.w]
+	if len(p) < headerSize {
+		return m, false, nil
+	}
+	n := binary.BigEndian.Uint32(p)
+	if n == 0 || n > MaxFrame {
+		d.err = fmt.Errorf("a frame of %d bytes", n)
+		return m, false, d.err
+	}
+	if len(p) < headerSize+int(n) {
+		return m, false, nil
+	}
+	d.r += headerSize + int(n)
+	m.Letter, m.Rest = p[headerSize], p[headerSize+1:headerSize+int(n)]
+	if m.Letter == 'R' {
+		m.Reply, d.err = parseReply(m.Rest)
+	}
+	return m, d.err == nil, d.err
+}
+
+var ends = map[string]cloverhook.Status{
+	"done": cloverhook.OK, "failed": cloverhook.Error, "full": cloverhook.Overloaded,
+}
+
+func parseReply(p []byte) (r Reply, err error) {
+	line, value, ok := bytes.Cut(p, []byte{'\n'})
+	if !ok {
+		return r, errors.New("an R frame without a line")
+	}
+	var end, report []byte
+	if r.ID, line, ok = bytes.Cut(line, []byte{' '}); ok {
+		end, line, _ = bytes.Cut(line, []byte{' '})
+		_, report, ok = bytes.Cut(line, []byte{' '}) // the score tells a broker nothing
+	}
+	if r.Status, ok = ends[string(end)]; !ok {
+		return r, fmt.Errorf("an R frame that ends with %q", end)
+	}
+	r.Load, err = ParseLoad(report)
+	r.Value = value
+	return r, err
+}
+
+// ParseLoad reads a load report: name=value pairs set apart by commas, or "-". Unknown names are ignored.
+func ParseLoad(p []byte) (cloverhook.Load, error) {
+	l := cloverhook.NoLoad
+	for len(p) > 0 && string(p) != "-" {
+		var pair []byte
+		pair, p, _ = bytes.Cut(p, []byte{','})
+		name, number, ok := bytes.Cut(pair, []byte{'='})
+		v, err := strconv.ParseFloat(string(number), 64)
+		if !ok || err != nil || math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
+			return cloverhook.NoLoad, fmt.Errorf("a load report with %q", pair)
+		}
+		switch string(name) {
+		case "inflight":
+			l.InFlight = v
+		case "queue":
+			l.Queue = v
+		case "util":
+			l.Busy = v
+		case "latency_ms":
+			l.Latency = v / 1000
+		case "qps":
+			l.Rate = v
+		case "eps":
+			l.ErrorRate = v
+		}
+	}
+	return l, nil
+}
+
+// PartID is a part's id: the query's, a dot and the shard.
+func PartID(query string, shard int) string { return query + "." + strconv.Itoa(shard) }
+
+// AppendCall writes a frame S with one part behind b.
+func AppendCall(b []byte, id string, shard, waitMS int, text []byte) []byte {
+	at := len(b)
+	b = append(append(append(b, 0, 0, 0, 0, 'S'), id...), ' ')
+	b = strconv.AppendInt(b, int64(shard), 10)
+	b = strconv.AppendInt(append(b, " d="...), int64(waitMS), 10)
+	b = strconv.AppendInt(append(b, ' '), int64(len(text)), 10)
+	return closeFrame(append(append(b, '\n'), text...), at)
+}
+
+// Append writes a frame of any other letter behind b.
+func Append(b []byte, letter byte, rest string) []byte {
+	at := len(b)
+	return closeFrame(append(append(b, 0, 0, 0, 0, letter), rest...), at)
+}
+
+func closeFrame(b []byte, at int) []byte {
+	binary.BigEndian.PutUint32(b[at:], uint32(len(b)-at-headerSize))
+	return b
+}
--- /dev/null
+++ b/internal/front/conn.go
@@ -0,0 +1,216 @@
+package front
+
+import (
+	"errors"
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"cloverhook/internal/broker"
+	"cloverhook/internal/httpwire"
+)
+
+// conn is one client connection. Its serve goroutine owns it; a second goroutine only reads.
+type conn struct {
+	f      *Front
+	sock   net.Conn
+	in     httpwire.RequestReader
+	out    []byte
+	reply  chan broker.Result // cap 1: a connection has one query at a time
+	wake   chan struct{}      // the front ends
+	held   *broker.Request    // nil: none
+	closes bool               // the held request's client ends the connection after it
+}
+
+// Finish is called by the core's loop.
+func (c *conn) Finish(r broker.Result) { c.reply <- r }
+
+type readEnd struct {
+	n   int
+	err error
+}
+
+// serve drives the connection until it ends. One read is always out, so that a client that goes away while
+// it waits is noticed.
+func (c *conn) serve() {
+	spaces, ends := make(chan []byte, 1), make(chan readEnd, 1)
+	go func() {
+		for p := range spaces {
+			n, err := c.sock.Read(p)
+			ends <- readEnd{n, err}
+		}
+	}()
+	defer close(spaces)
+	defer c.sock.Close()
+	idle := time.NewTimer(idleLimit)
+	defer idle.Stop()
+	reading := false
+	started := false // a request has begun to come
+	for {
+		if !reading && !c.in.Full() {
+			spaces <- c.in.Space()
+			reading = true
+		}
+		select {
+		case e := <-ends:
+			reading = false
+			c.in.Filled(e.n)
+			if e.err != nil {
+				if c.held != nil {
+					c.f.core.Leave(c.held)
+				}
+				return
+			}
+			if !started && c.held == nil {
+				started = true
+				idle.Reset(headLimit)
+			}
+		case r := <-c.reply:
+			ok := c.write(result(r, c.closes))
+			c.held = nil
+			if !ok {
+				return
+			}
+			started = false
+			idle.Reset(idleLimit)
+		case <-idle.C:
+			if c.held == nil {
+				return
+			}
+			continue
+		case <-c.wake:
+		}
+		for c.held == nil {
+			req, err := c.in.Next()
+			if err != nil {
+				c.refuse(err)
+				return
+			}
+			if req == nil {
+				break
+			}
+			started = false
+			idle.Reset(idleLimit)
+			if !c.handle(req) {
+				return
+			}
+		}
+		if _, ending := c.f.state(); ending && c.held == nil && !started {
+			return
+		}
+	}
+}
+
+// handle answers a request or hands it to the core. It returns false where the connection ends.
+func (c *conn) handle(req *httpwire.Request) bool {
+	resp := httpwire.Response{Close: req.Close, NoBody: req.Method == "HEAD"}
+	class, _, _ := strings.Cut(strings.TrimPrefix(req.Path, "/"), "/")
+	index, known := c.f.opt.Classes[class]
+	switch {
+	case req.Path == "/up":
+		if resp.Status = 200; req.Method != "GET" && req.Method != "HEAD" {
+			resp.Status, resp.Allow = 405, "GET, HEAD"
+		} else if !c.f.core.Serving() {
+			resp.Status = 503
+		}
+	case !known:
+		resp.Status, resp.Body = 404, problem{"no class of query has this name"}
+	case req.Method != "POST":
+		resp.Status, resp.Allow = 405, "POST"
+	default:
+		r, err := c.request(req, index)
+		if err == nil {
+			c.held, c.closes = r, req.Close
+			c.f.core.Take(r, c)
+			return true
+		}
+		var e *httpwire.Error
+		if resp.Status = 400; errors.As(err, &e) {
+			resp.Status = e.Status
+		}
+		resp.Body = problem{err.Error()}
+	}
+	return c.write(resp)
+}
+
+// request makes a core's request of a query.
+func (c *conn) request(req *httpwire.Request, class int) (*broker.Request, error) {
+	now := time.Now()
+	q, err := httpwire.ParseQuery(req)
+	if err != nil {
+		return nil, err
+	}
+	r := &broker.Request{
+		ID: q.ID, Class: class, Retry: q.Retry, Arrived: now, Patience: q.Patience, Text: []byte(q.Text),
+	}
+	for i, t := range q.Targets {
+		if c.f.opt.Shards > 0 && t.Partition >= c.f.opt.Shards {
+			return nil, &httpwire.Error{Status: 400, Reason: "targets: no such partition"}
+		}
+		key, err := t.Key()
+		if err != nil {
+			return nil, &httpwire.Error{Status: 400, Reason: "targets: a route that is no number"}
+		}
+		r.Parts = slices.Grow(r.Parts, len(q.Targets)-i)
+		r.Parts = append(r.Parts, broker.Part{Shard: t.Partition, Share: t.Share, Work: t.EstUS / 1e6, Route: key})
+	}
+	return r, nil
+}
+
+// refuse answers input that breaks the protocol; the connection ends after it.
+func (c *conn) refuse(err error) {
+	resp := httpwire.Response{Status: 400, Body: problem{err.Error()}, Close: true}
+	var e *httpwire.Error
+	if errors.As(err, &e) {
+		resp.Status = e.Status
+	}
+	if c.write(resp); c.sock != nil {
+		// What the client still sends is read for a moment: closing with bytes unread would reset the
+		// connection, and the answer could be lost with it.
+		if t, ok := c.sock.(*net.TCPConn); ok {
+			t.CloseWrite()
+			t.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+// problem is the body of an answer that is not 200.
+type problem struct {
+	Error string `json:"error"`
+}
+
+// result is a query's final answer as a response.
+func result(r broker.Result, closes bool) httpwire.Response {
+	resp := httpwire.Response{Close: closes}
+	switch r.Outcome {
+	case broker.Answered:
+		a := httpwire.Answer{Whole: r.Whole, Results: make([]httpwire.Hit, 0, len(r.Values))}
+		for _, v := range r.Values {
+			a.Results = append(a.Results, httpwire.Hit{Partition: v.Shard, Value: string(v.Data)})
+		}
+		resp.Status, resp.Body = 200, a
+	case broker.Refused:
+		resp.Status, resp.RetryAfter = 503, r.RetryAfter
+		resp.Body = problem{"refused: trying again is harmless"}
+	case broker.Overdue:
+		resp.Status, resp.Body = 504, problem{"the time is up"}
+	case broker.Duplicate:
+		resp.Status, resp.Body = 409, problem{"a query of this id is being served"}
+	default:
+		resp.Status, resp.Body = 500, problem{"failed: parts may have run"}
+	}
+	return resp
+}
+
+// write sends a response and tells whether the connection goes on.
+func (c *conn) write(resp httpwire.Response) bool {
+	if closing, _ := c.f.state(); closing {
+		resp.Close = true
+	}
+	c.out = resp.Append(c.out[:0])
+	c.sock.SetWriteDeadline(time.Now().Add(writeLimit))
+	_, err := c.sock.Write(c.out)
+	return err == nil && !resp.Close
+}
--- /dev/null
+++ b/internal/upstream/conn.go
@@ -0,0 +1,323 @@
+package upstream
+
+import (
+	"errors"
+	"net"
+	"time"
+	"unicode/utf8"
+
+	"cloverhook"
+	"cloverhook/internal/broker"
+	"cloverhook/internal/frame"
+)
+
+const (
+	idleShare  = 0.8             // of the servers' idle limit: no call is written to a connection they close
+	staleMost  = 1024            // ids of cancelled calls kept; a connection with more is retired
+	writeLimit = 2 * time.Second // a peer that takes no bytes for so long is given up
+)
+
+// job is one call or probe on a connection.
+type job struct {
+	call  *broker.Call
+	probe *broker.Probe
+	id    string
+	state jobState
+}
+
+type jobState int
+
+const (
+	jobQueued  jobState = iota
+	jobWriting          // bytes of its frame are being written
+	jobWritten
+	jobOver
+)
+
+// conn is one connection. The link's mu guards its fields.
+type conn struct {
+	l       *Link
+	addr    string
+	sock    net.Conn // nil until it is up
+	retired bool     // takes nothing new
+	broken  error    // why it ended
+	queue   []*job   // to be written, in order
+	cancels []string // ids for which a C is to be written
+	calls   map[string]*job
+	stale   map[string]bool // written, then cancelled, and unanswered so far
+	probes  []*job          // written and unanswered, in order
+	wake    chan struct{}   // tells the writer that there is something, cap 1
+	idle    *time.Timer     // runs while nothing is out
+}
+
+func partID(c *broker.Call) string { return frame.PartID(c.Query, c.Shard) }
+
+func newConn(l *Link, addr string) *conn {
+	return &conn{
+		l: l, addr: addr, calls: map[string]*job{}, stale: map[string]bool{}, wake: make(chan struct{}, 1),
+	}
+}
+
+func (cn *conn) enqueue(j *job) {
+	if cn.idle != nil {
+		cn.idle.Stop()
+		cn.idle = nil
+	}
+	if j.call != nil {
+		cn.calls[j.id] = j
+	}
+	cn.queue = append(cn.queue, j)
+	cn.signal()
+}
+
+func (cn *conn) signal() {
+	select {
+	case cn.wake <- struct{}{}:
+	default:
+	}
+}
+
+// cancel takes a call off. The caller holds mu.
+func (cn *conn) cancel(j *job) {
+	delete(cn.calls, j.id)
+	if j.state == jobWriting || j.state == jobWritten {
+		cn.cancels = append(cn.cancels, j.id)
+		cn.stale[j.id] = true
+		if len(cn.stale) > staleMost {
+			cn.retired = true
+		}
+		cn.signal()
+	}
+	j.state = jobOver
+	cn.rest()
+}
+
+// rest starts the idle timer once nothing is out. The caller holds mu.
+func (cn *conn) rest() {
+	if len(cn.calls)+len(cn.probes)+len(cn.queue) > 0 || cn.broken != nil || cn.idle != nil {
+		return
+	}
+	limit := time.Duration(float64(cn.l.opt.Idle) * idleShare)
+	if cn.retired {
+		limit = 0
+	}
+	cn.idle = time.AfterFunc(limit, func() {
+		cn.l.mu.Lock()
+		defer cn.l.mu.Unlock()
+		if len(cn.calls)+len(cn.probes)+len(cn.queue) == 0 {
+			cn.fail(errIdle)
+		}
+	})
+}
+
+var (
+	errIdle    = errors.New("the connection was idle")
+	errRefused = errors.New("the server could not use a frame")
+	errMoot    = errors.New("nobody waits for the connection any more")
+)
+
+// run connects, then reads until the connection ends.
+func (cn *conn) run() {
+	sock, err := cn.l.dial(cn.addr)
+	cn.l.mu.Lock()
+	if err != nil || cn.broken != nil {
+		cn.fail(err)
+		cn.l.mu.Unlock()
+		if sock != nil {
+			sock.Close()
+		}
+		return
+	}
+	cn.sock = sock
+	cn.rest()
+	cn.l.mu.Unlock()
+	go cn.write()
+	err = cn.read()
+	cn.l.mu.Lock()
+	cn.fail(err)
+	cn.l.mu.Unlock()
+}
+
+// fail ends the connection and all that is on it. What was not written whole cannot have run. A job that is
+// being written is left to the writer, which knows how much of it went out. The caller holds mu.
+func (cn *conn) fail(err error) {
+	if cn.broken != nil {
+		return
+	}
+	if cn.broken = err; err == nil {
+		cn.broken = errMoot
+	}
+	cn.retired = true
+	cn.l.drop(cn)
+	if cn.idle != nil {
+		cn.idle.Stop()
+	}
+	if cn.sock != nil {
+		cn.sock.Close()
+	}
+	for _, j := range cn.queue {
+		cn.end(j, cloverhook.Unreachable)
+	}
+	for _, j := range cn.calls {
+		if j.state == jobWritten {
+			cn.end(j, cloverhook.Reset)
+		}
+	}
+	for _, j := range cn.probes {
+		cn.end(j, cloverhook.Reset)
+	}
+	cn.queue, cn.probes = nil, nil
+	cn.signal()
+}
+
+// end tells how a job ended that got no answer. The caller holds mu.
+func (cn *conn) end(j *job, status cloverhook.Status) {
+	if j.state == jobOver {
+		return
+	}
+	j.state = jobOver
+	if j.probe != nil {
+		j.probe.Done(unsent(status))
+		return
+	}
+	delete(cn.calls, j.id)
+	j.call.Done(unsent(status))
+}
+
+// write writes what is queued, cancels first: they free work.
+func (cn *conn) write() {
+	var buf []byte
+	for {
+		cn.l.mu.Lock()
+		var j *job
+		ready := false
+		switch {
+		case cn.broken != nil:
+			cn.l.mu.Unlock()
+			return
+		case len(cn.cancels) > 0:
+			buf, ready = buf[:0], true
+			for _, id := range cn.cancels {
+				buf = frame.Append(buf, 'C', id)
+			}
+			cn.cancels = cn.cancels[:0]
+		case len(cn.queue) > 0:
+			j, cn.queue = cn.queue[0], cn.queue[1:]
+			buf, ready = cn.prepare(j, buf[:0])
+		default:
+			cn.rest()
+			cn.l.mu.Unlock()
+			<-cn.wake
+			continue
+		}
+		cn.l.mu.Unlock()
+		if !ready {
+			continue
+		}
+		cn.sock.SetWriteDeadline(time.Now().Add(writeLimit))
+		n, err := cn.sock.Write(buf)
+		cn.l.mu.Lock()
+		if j != nil && j.state == jobWriting {
+			j.state = jobWritten
+			if cn.broken != nil || err != nil {
+				// The break came meanwhile: it may have run only if its last byte was written.
+				status := cloverhook.Reset
+				if n < len(buf) {
+					status = cloverhook.Unreachable
+				}
+				cn.end(j, status)
+			}
+		}
+		if err != nil {
+			cn.fail(err)
+		}
+		cn.l.mu.Unlock()
+	}
+}
+
+// prepare makes a job's frame, if it may still be sent. The caller holds mu.
+func (cn *conn) prepare(j *job, buf []byte) ([]byte, bool) {
+	if j.state == jobOver {
+		return buf, false
+	}
+	if j.probe != nil {
+		letter := byte('H')
+		if j.probe.Load {
+			letter = 'M'
+		}
+		j.state = jobWritten
+		cn.probes = append(cn.probes, j)
+		return frame.Append(buf, letter, ""), true
+	}
+	if !j.call.Begin() {
+		j.state = jobOver
+		delete(cn.calls, j.id)
+		return buf, false
+	}
+	j.state = jobWriting
+	wait := max(int(time.Until(j.call.Deadline)/time.Millisecond), 1)
+	return frame.AppendCall(buf, j.id, j.call.Shard, wait, j.call.Text), true
+}
+
+// read reads frames until the connection ends.
+func (cn *conn) read() error {
+	var in frame.Reader
+	for {
+		n, err := cn.sock.Read(in.Space())
+		if err != nil {
+			return err
+		}
+		in.Filled(n)
+		for {
+			m, ok, err := in.Next()
+			if err != nil {
+				return err
+			}
+			if !ok {
+				break
+			}
+			if m.Letter == 'F' {
+				return errRefused
+			}
+			cn.l.mu.Lock()
+			cn.take(m)
+			cn.l.mu.Unlock()
+		}
+	}
+}
+
+// take books one message. The caller holds mu.
+func (cn *conn) take(m frame.Message) {
+	switch m.Letter {
+	case 'R':
+		j := cn.calls[string(m.Reply.ID)]
+		if j == nil || j.state == jobQueued {
+			delete(cn.stale, string(m.Reply.ID)) // the late answer to a call that was cancelled
+			break
+		}
+		delete(cn.calls, j.id)
+		j.state = jobOver
+		r := broker.Reply{Status: m.Reply.Status, Load: m.Reply.Load}
+		if r.Status == cloverhook.OK && utf8.Valid(m.Reply.Value) {
+			r.Value = append([]byte{}, m.Reply.Value...) // it outlives the buffer
+		} else if r.Status == cloverhook.OK {
+			r.Status = cloverhook.Error // no answer could carry it
+		}
+		j.call.Done(r)
+	case 'H', 'M':
+		if len(cn.probes) == 0 {
+			break
+		}
+		j := cn.probes[0]
+		cn.probes = cn.probes[1:]
+		j.state = jobOver
+		r := unsent(cloverhook.OK)
+		if string(m.Rest) == "failed" {
+			r.Status = cloverhook.Error
+		} else if load, err := frame.ParseLoad(m.Rest); m.Letter == 'M' && err == nil {
+			r.Load = load
+		}
+		j.probe.Done(r)
+	}
+	cn.rest()
+}
