--- /dev/null
+++ b/cmd/mothrouter/exchange_test.go
@@ -0,0 +1,341 @@
+package main_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/textproto"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The recorded exchanges in testdata are played against the built program: stand-ins of its clients, record
+// servers and discovery send what is recorded, and what the program sends is compared. testdata/README
+// tells how they are written.
+
+const (
+	patience = 5 * time.Second        // for what must come
+	quietFor = 200 * time.Millisecond // for what must not
+)
+
+var (
+	program    string
+	buildFlags []string // with the race detector on here, the program has it too
+)
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "mothrouter")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "mothrouter")
+	if out, err := exec.Command("go", append(append([]string{"build"}, buildFlags...), "-o", program, ".")...).CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// player plays one exchange.
+type player struct {
+	t      *testing.T
+	bytes  bool // send byte by byte
+	peers  map[string]net.Listener
+	conns  map[string]net.Conn
+	ins    map[string]*bufio.Reader
+	listen string
+	cmd    *exec.Cmd
+	seen   func(peer string, sent bool, message string) // told of each message
+}
+
+func newPlayer(t *testing.T) *player {
+	return &player{
+		t: t, peers: map[string]net.Listener{}, conns: map[string]net.Conn{}, ins: map[string]*bufio.Reader{},
+		seen: func(string, bool, string) {},
+	}
+}
+
+func (p *player) listener(name string) net.Listener {
+	if p.peers[name] == nil {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(p.t, err)
+		p.peers[name] = l
+	}
+	return p.peers[name]
+}
+
+const profile = `{"caps":{"cancel":true,"connIdleS":%g,"connectTimeoutS":0.25,"maxRetryAfterS":0.5,"openCap":%d,
+"probes":false,"retryAfter":true,"secondCopies":false,"sendCap":4,"streamsPerConn":100},
+"classes":[{"name":"usage-lookup","deadlineS":4,"objectiveS":0.5,"lateWorth":0,"semantics":"free","worth":1},
+{"name":"charge-post","deadlineS":5,"objectiveS":0.5,"lateWorth":0,"semantics":"single_shot","worth":2},
+{"name":"tariff-report","deadlineS":6,"objectiveS":0.5,"lateWorth":0.1,"semantics":"free","worth":3}],
+"discovery":"push","familyInfo":{"bundleMax":1,"cells":1,"classFloor":[1,1,0.8],"needByClass":[1,1,1],"reach":1,
+"slabs":24},"machineTypes":["std-2c"],"peersTotal":1,"report":{"how":"piggyback"},"tickS":0.005,
+"zones":["bern-1"]}`
+
+// start runs the program with the servers that it knows.
+func (p *player) start(known []string, openCap int, idle float64, flags ...string) {
+	var servers []string
+	for _, name := range known {
+		servers = append(servers, p.entry(name, "active"))
+	}
+	hold, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(p.t, err)
+	p.listen = hold.Addr().String()
+	hold.Close()
+	config := filepath.Join(p.t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"1","limits":{"memory_mb":192,"sockets":1024},
+		"known":{"version":41,"full":true,"servers":[%s]},"settings":%s}`, p.listen, p.listener("discovery").Addr(),
+		strings.Join(servers, ","), fmt.Sprintf(profile, idle, openCap))
+	require.NoError(p.t, os.WriteFile(config, []byte(text), 0o600))
+	p.cmd = exec.Command(program, flags...)
+	p.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+config)
+	log := &bytes.Buffer{}
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	require.NoError(p.t, p.cmd.Start())
+	p.t.Cleanup(func() {
+		p.cmd.Process.Kill()
+		p.cmd.Wait()
+		require.NotContains(p.t, log.String(), "DATA RACE")
+		if p.t.Failed() {
+			p.t.Log(log.String())
+		}
+		for _, c := range p.conns {
+			c.Close()
+		}
+		for _, l := range p.peers {
+			l.Close()
+		}
+	})
+	require.Eventually(p.t, func() bool {
+		c, err := net.Dial("tcp", p.listen)
+		if err != nil {
+			return false
+		}
+		defer c.Close()
+		fmt.Fprint(c, "GET /up HTTP/1.1\r\nHost: n1\r\n\r\n")
+		line, _ := textproto.NewReader(bufio.NewReader(c)).ReadLine()
+		return line == "HTTP/1.1 200 OK"
+	}, patience, 10*time.Millisecond)
+}
+
+// entry is a server on discovery's list.
+func (p *player) entry(name, state string) string {
+	return fmt.Sprintf(`{"id":%q,"addr":%q,"zone":"bern-1","kind":"std-2c","cell":0,"state":%q,"weight":1,`+
+		`"started_ms":0}`, name, p.listener(name).Addr(), state)
+}
+
+// conn is a peer's connection: clients dial, the others wait to be dialled. "s0.2" is s0's second.
+func (p *player) conn(name string) net.Conn {
+	if c := p.conns[name]; c != nil {
+		return c
+	}
+	var c net.Conn
+	var err error
+	if host, _, _ := strings.Cut(name, "."); isServer(host) || host == "discovery" {
+		l := p.listener(host).(*net.TCPListener)
+		require.NoError(p.t, l.SetDeadline(time.Now().Add(patience)))
+		c, err = l.Accept()
+	} else {
+		c, err = net.Dial("tcp", p.listen)
+	}
+	require.NoError(p.t, err, name)
+	p.conns[name], p.ins[name] = c, bufio.NewReader(c)
+	return c
+}
+
+func isServer(name string) bool { return regexp.MustCompile(`^s\d`).MatchString(name) }
+
+// wire is a message as it goes over the socket.
+func wire(peer, message string) []byte {
+	if isServer(peer) {
+		letter, rest, _ := strings.Cut(message, " ")
+		b := binary.BigEndian.AppendUint32(nil, uint32(1+len(rest)))
+		return append(append(b, letter...), rest...)
+	}
+	if line, ok := strings.CutPrefix(message, "~line"); ok { // one of discovery's, as a chunk
+		line = strings.TrimSpace(line)
+		return fmt.Appendf(nil, "%x\r\n%s\n\r\n", len(line)+1, line)
+	}
+	head, body, _ := strings.Cut(message, "\n\n")
+	head = strings.ReplaceAll(head, "\n", "\r\n")
+	if strings.Contains(head, "chunked") && body != "" {
+		body = strings.ReplaceAll(body, "\n", "\r\n") + "\r\n\r\n"
+	}
+	head = strings.Replace(head, "Content-Length: auto", "Content-Length: "+strconv.Itoa(len(body)), 1)
+	return []byte(head + "\r\n\r\n" + body)
+}
+
+// message reads the next message that the program sends to a peer.
+func (p *player) message(peer string) (string, error) {
+	in := p.ins[peer]
+	if isServer(peer) {
+		var n uint32
+		if err := binary.Read(in, binary.BigEndian, &n); err != nil {
+			return "", err
+		}
+		b := make([]byte, n)
+		_, err := io.ReadFull(in, b)
+		return strings.TrimSuffix(string(b[:1])+" "+string(b[1:]), " "), err
+	}
+	r := textproto.NewReader(in)
+	start, err := r.ReadLine()
+	if err != nil {
+		return "", err
+	}
+	text := []string{start}
+	length := 0
+	for {
+		line, err := r.ReadLine()
+		if err != nil {
+			return "", err
+		}
+		if text = append(text, line); line == "" {
+			break
+		}
+		if v, ok := strings.CutPrefix(line, "Content-Length: "); ok {
+			length, _ = strconv.Atoi(v)
+		}
+	}
+	body := make([]byte, length)
+	_, err = io.ReadFull(in, body)
+	return strings.TrimRight(strings.Join(text, "\n")+"\n"+string(body), "\n"), err
+}
+
+// play carries out one step.
+func (p *player) play(step, message string) {
+	words := strings.Fields(step)
+	peer, verb := words[0], strings.Join(words[1:], " ")
+	message = regexp.MustCompile(`\{\{(\w+) (\w+)\}\}`).ReplaceAllStringFunc(message, func(m string) string {
+		w := strings.Fields(strings.Trim(m, "{}"))
+		return p.entry(w[0], w[1])
+	})
+	switch {
+	case peer == "known":
+		openCap, idle := 100, 15.0
+		var names []string
+		for _, w := range words[1:] {
+			if n, ok := strings.CutPrefix(w, "cap="); ok {
+				openCap, _ = strconv.Atoi(n)
+			} else if n, ok := strings.CutPrefix(w, "idle="); ok {
+				idle, _ = strconv.ParseFloat(n, 64)
+			} else {
+				names = append(names, w)
+			}
+		}
+		p.start(names, openCap, idle)
+	case peer == "pause":
+		d, err := time.ParseDuration(words[1])
+		require.NoError(p.t, err)
+		time.Sleep(d)
+	case step == "program is told to end":
+		require.NoError(p.t, p.cmd.Process.Signal(syscall.SIGTERM))
+	case step == "program ends":
+		require.NoError(p.t, p.cmd.Wait())
+	case verb == "sends":
+		p.seen(peer, true, message)
+		b := wire(peer, message)
+		for len(b) > 0 {
+			n := len(b)
+			if p.bytes {
+				n = 1
+			}
+			_, err := p.conn(peer).Write(b[:n])
+			require.NoError(p.t, err)
+			b = b[n:]
+		}
+	case verb == "gets":
+		require.NoError(p.t, p.conn(peer).SetReadDeadline(time.Now().Add(patience)))
+		got, err := p.message(peer)
+		require.NoError(p.t, err, "%s gets %s", peer, message)
+		want := strings.ReplaceAll(regexp.QuoteMeta(message), "~", `[0-9a-zA-Z.: \-]+`)
+		require.Regexp(p.t, "^"+want+"$", got)
+		p.seen(peer, false, got)
+	case verb == "gets nothing":
+		require.NoError(p.t, p.conn(peer).SetReadDeadline(time.Now().Add(quietFor)))
+		got, err := p.ins[peer].ReadByte()
+		require.ErrorIs(p.t, err, os.ErrDeadlineExceeded, "%s got %q", peer, got)
+	case verb == "is not called":
+		require.NoError(p.t, p.listener(peer).(*net.TCPListener).SetDeadline(time.Now().Add(quietFor)))
+		_, err := p.peers[peer].Accept()
+		require.ErrorIs(p.t, err, os.ErrDeadlineExceeded)
+	case verb == "sees the end":
+		require.NoError(p.t, p.conn(peer).SetReadDeadline(time.Now().Add(patience)))
+		_, err := p.ins[peer].ReadByte()
+		require.Error(p.t, err)
+		require.False(p.t, errors.Is(err, os.ErrDeadlineExceeded), "the connection goes on")
+		delete(p.conns, peer)
+	case verb == "closes", verb == "resets":
+		if verb == "resets" {
+			require.NoError(p.t, p.conn(peer).(*net.TCPConn).SetLinger(0))
+		}
+		require.NoError(p.t, p.conn(peer).Close())
+		delete(p.conns, peer)
+	case verb == "is down":
+		require.NoError(p.t, p.listener(peer).Close())
+	default:
+		p.t.Fatalf("cannot play %q", step)
+	}
+}
+
+// steps reads an exchange: a line a step, the message of each indented by a tab behind it.
+func steps(t *testing.T, file string) (steps, messages []string) {
+	text, err := os.ReadFile(file)
+	require.NoError(t, err)
+	blank := ""
+	for line := range strings.Lines(string(text)) {
+		line = strings.TrimSuffix(line, "\n")
+		if body, ok := strings.CutPrefix(line, "\t"); ok {
+			if last := len(messages) - 1; messages[last] == "" {
+				messages[last] = body
+			} else {
+				messages[last] += "\n" + blank + body
+			}
+			blank = ""
+		} else if line == "" {
+			blank += "\n"
+		} else if line[0] != '#' {
+			blank = ""
+			steps, messages = append(steps, line), append(messages, "")
+		}
+	}
+	return steps, messages
+}
+
+func TestExchanges(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	api := loadAPI(t)
+	for _, file := range files {
+		for _, bytewise := range []bool{false, true} {
+			name := strings.TrimSuffix(filepath.Base(file), ".txt")
+			if bytewise {
+				name += " byte by byte"
+			}
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				p := newPlayer(t)
+				p.bytes, p.seen = bytewise, api.checker(t)
+				steps, messages := steps(t, file)
+				for i, step := range steps {
+					p.play(step, messages[i])
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/cmd/mothrouter/flight_test.go
@@ -0,0 +1,400 @@
+package main_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apache/arrow-go/v18/arrow"
+	"github.com/apache/arrow-go/v18/arrow/array"
+	"github.com/apache/arrow-go/v18/arrow/flight"
+	"github.com/apache/arrow-go/v18/arrow/ipc"
+	"github.com/apache/arrow-go/v18/arrow/memory"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	mothflight "cloverhook/internal/flight"
+	"cloverhook/internal/httpwire"
+)
+
+// recordServer is a stand-in record server that speaks Flight. Its answer to a part is up to the test.
+type recordServer struct {
+	flight.BaseFlightServer
+	answer func(t mothflight.PartTicket, s flight.FlightService_DoGetServer) error
+	mu     sync.Mutex
+	conns  []net.Conn
+	got    []string // ids of the parts that came
+}
+
+// Accept and Close make it a listener that can break off its connections.
+type trackedListener struct {
+	net.Listener
+	s *recordServer
+}
+
+func (l trackedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.s.mu.Lock()
+		l.s.conns = append(l.s.conns, c)
+		l.s.mu.Unlock()
+	}
+	return c, err
+}
+
+// breakOff ends all connections without a word.
+func (s *recordServer) breakOff() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		c.Close()
+	}
+}
+
+func (s *recordServer) parts() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.got...)
+}
+
+func (s *recordServer) DoGet(ticket *flight.Ticket, stream flight.FlightService_DoGetServer) error {
+	var t mothflight.PartTicket
+	if err := json.Unmarshal(ticket.Ticket, &t); err != nil {
+		return status.Error(codes.InvalidArgument, err.Error())
+	}
+	s.mu.Lock()
+	s.got = append(s.got, t.ID)
+	s.mu.Unlock()
+	return s.answer(t, stream)
+}
+
+// rows sends a part's value in pieces, as batches.
+func rows(stream flight.FlightService_DoGetServer, pieces ...string) error {
+	schema := arrow.NewSchema([]arrow.Field{{Name: "value", Type: arrow.BinaryTypes.String}}, nil)
+	w := flight.NewRecordWriter(stream, ipc.WithSchema(schema))
+	for _, piece := range pieces {
+		b := array.NewRecordBuilder(memory.DefaultAllocator, schema)
+		b.Field(0).(*array.StringBuilder).Append(piece)
+		rec := b.NewRecordBatch()
+		if err := w.WriteWithAppMetadata(rec, []byte("inflight=2,util=0.3")); err != nil {
+			return err
+		}
+	}
+	return w.Close()
+}
+
+func (p *player) flightServer(name string, answer func(mothflight.PartTicket, flight.FlightService_DoGetServer) error) *recordServer {
+	s := &recordServer{answer: answer}
+	g := grpc.NewServer()
+	flight.RegisterFlightServiceServer(g, s)
+	go g.Serve(trackedListener{p.listener(name), s})
+	p.t.Cleanup(g.Stop)
+	return s
+}
+
+// startFlight runs the program with Flight on and returns a client of it.
+func (p *player) startFlight(speaks string, known ...string) flight.Client {
+	hold, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(p.t, err)
+	addr := hold.Addr().String()
+	hold.Close()
+	file := filepath.Join(p.t.TempDir(), "flight.toml")
+	text := fmt.Sprintf("listen = %q\nservers = [%s]\n", addr, speaks)
+	require.NoError(p.t, os.WriteFile(file, []byte(text), 0o600))
+	p.start(known, 400, 15, "-flight", file)
+	conn, err := grpc.NewClient("passthrough:///"+addr, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithInitialWindowSize(64<<10), grpc.WithInitialConnWindowSize(64<<10)) // both stay so small
+	require.NoError(p.t, err)
+	p.t.Cleanup(func() { conn.Close() })
+	return flight.NewClientFromConn(conn, nil)
+}
+
+func ticket(id, class string, parts int) []byte {
+	t := mothflight.Ticket{ID: id, Class: class, Body: httpwire.Body{Query: "x"}}
+	for i := range parts {
+		t.Targets = append(t.Targets, httpwire.Target{Partition: i, Share: 1 / float64(parts)})
+	}
+	text, err := json.Marshal(t)
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
+type flightAnswer struct {
+	values  map[int32]string
+	closing *mothflight.Closing // nil: the answer was cut
+	schema  *arrow.Schema
+}
+
+// get fetches a query to the end of its stream.
+func get(ctx context.Context, c flight.Client, ticket []byte) (a flightAnswer, err error) {
+	stream, err := c.DoGet(ctx, &flight.Ticket{Ticket: ticket}, grpc.WaitForReady(true))
+	if err != nil {
+		return a, err
+	}
+	var last []byte
+	r, err := flight.NewRecordReader(tapped{stream, &last})
+	if err != nil {
+		return a, err
+	}
+	defer r.Release()
+	a.values, a.schema = map[int32]string{}, r.Schema()
+	for r.Next() {
+		rec := r.RecordBatch()
+		for i := range int(rec.NumRows()) {
+			a.values[rec.Column(0).(*array.Int32).Value(i)] = rec.Column(1).(*array.String).Value(i)
+		}
+	}
+	if err := r.Err(); err != nil && !errors.Is(err, io.EOF) {
+		return a, err
+	}
+	if len(last) > 0 {
+		a.closing = &mothflight.Closing{}
+		err = json.Unmarshal(last, a.closing)
+	}
+	return a, err
+}
+
+// tapped keeps the metadata of the last message, which carries no rows.
+type tapped struct {
+	flight.FlightService_DoGetClient
+	last *[]byte
+}
+
+func (s tapped) Recv() (*flight.FlightData, error) {
+	m, err := s.FlightService_DoGetClient.Recv()
+	if err == nil {
+		*s.last = m.AppMetadata
+		if len(m.DataHeader) == 0 && len(m.AppMetadata) > 0 {
+			return s.Recv()
+		}
+	}
+	return m, err
+}
+
+func soon(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// isRefusal tells whether an error tells the client that trying again is harmless.
+func isRefusal(err error) bool {
+	for _, d := range status.Convert(err).Details() {
+		if _, ok := d.(*errdetails.RetryInfo); ok {
+			return status.Code(err) == codes.Unavailable
+		}
+	}
+	return false
+}
+
+func value(t mothflight.PartTicket, s flight.FlightService_DoGetServer) error {
+	return rows(s, "v", fmt.Sprint(t.Partition))
+}
+
+func TestFlightServes(t *testing.T) {
+	p := newPlayer(t)
+	s0 := p.flightServer("s0", value)
+	c := p.startFlight(`"s0"`, "s0")
+	a, err := get(soon(t), c, ticket("q1", "tariff-report", 5))
+	require.NoError(t, err)
+	require.Equal(t, map[int32]string{0: "v0", 1: "v1", 2: "v2", 3: "v3", 4: "v4"}, a.values)
+	require.Equal(t, &mothflight.Closing{ID: "q1", Class: "tariff-report", Whole: true, Parts: 5}, a.closing)
+	md := a.schema.Metadata()
+	require.Equal(t, map[string]string{"mothrouter.id": "q1", "mothrouter.class": "tariff-report"}, md.ToMap())
+	require.Len(t, s0.parts(), 5)
+	info, err := c.GetFlightInfo(soon(t), &flight.FlightDescriptor{Type: flight.DescriptorCMD, Cmd: ticket("q2", "charge-post", 1)})
+	require.NoError(t, err)
+	a, err = get(soon(t), c, info.Endpoint[0].Ticket.Ticket)
+	require.NoError(t, err)
+	require.True(t, a.closing.Whole)
+}
+
+func TestFlightStatuses(t *testing.T) {
+	p := newPlayer(t)
+	hold := make(chan struct{})
+	p.flightServer("s0", func(mothflight.PartTicket, flight.FlightService_DoGetServer) error {
+		<-hold
+		return status.Error(codes.Aborted, "failed")
+	})
+	c := p.startFlight(`"s0"`, "s0")
+	for want, text := range map[codes.Code]string{
+		codes.InvalidArgument: string(ticket("", "charge-post", 1)), codes.NotFound: string(ticket("q", "no-such", 1)),
+	} {
+		_, err := get(soon(t), c, []byte(text))
+		require.Equal(t, want, status.Code(err))
+	}
+	_, err := get(soon(t), c, []byte("{"))
+	require.Equal(t, codes.InvalidArgument, status.Code(err))
+	first := make(chan error, 1)
+	ctx := soon(t)
+	go func() {
+		_, err := get(ctx, c, ticket("q", "charge-post", 1))
+		first <- err
+	}()
+	require.Eventually(t, func() bool { // the same id while it is held
+		_, err := get(ctx, c, ticket("q", "charge-post", 0))
+		_, err2 := get(ctx, c, ticket("q", "charge-post", 1))
+		return status.Code(err) == codes.InvalidArgument && status.Code(err2) == codes.AlreadyExists
+	}, patience, 10*time.Millisecond)
+	close(hold)
+	require.Equal(t, codes.Aborted, status.Code(<-first)) // it may have run
+}
+
+// A stream that breaks halfway through a tariff-report part leaves it not in, and it is fetched again.
+func TestFlightStreamBreaksHalfway(t *testing.T) {
+	p := newPlayer(t)
+	var servers [2]*recordServer
+	var once sync.Once
+	for i := range servers {
+		servers[i] = p.flightServer(fmt.Sprint("s", i), func(mt mothflight.PartTicket, s flight.FlightService_DoGetServer) error {
+			broke := false
+			once.Do(func() {
+				broke = true
+				schema := arrow.NewSchema([]arrow.Field{{Name: "value", Type: arrow.BinaryTypes.String}}, nil)
+				w := flight.NewRecordWriter(s, ipc.WithSchema(schema))
+				b := array.NewRecordBuilder(memory.DefaultAllocator, schema)
+				b.Field(0).(*array.StringBuilder).Append("half")
+				if err := w.Write(b.NewRecordBatch()); err == nil {
+					time.Sleep(50 * time.Millisecond) // so that the half has left
+				}
+				servers[i].breakOff()
+			})
+			if broke {
+				<-s.Context().Done()
+				return s.Context().Err()
+			}
+			return value(mt, s)
+		})
+	}
+	c := p.startFlight(`"s0", "s1"`, "s0", "s1")
+	a, err := get(soon(t), c, ticket("q1", "tariff-report", 1))
+	require.NoError(t, err)
+	require.Equal(t, map[int32]string{0: "v0"}, a.values)
+	require.True(t, a.closing.Whole)
+	require.Equal(t, []string{"q1.0", "q1.0"}, append(servers[0].parts(), servers[1].parts()...))
+}
+
+// A charge-post stream that ends without a status may have run: never sent again, never refused.
+func TestFlightChargePostWithoutStatus(t *testing.T) {
+	p := newPlayer(t)
+	var servers [2]*recordServer
+	for i := range servers {
+		servers[i] = p.flightServer(fmt.Sprint("s", i), func(_ mothflight.PartTicket, s flight.FlightService_DoGetServer) error {
+			servers[i].breakOff()
+			<-s.Context().Done()
+			return s.Context().Err()
+		})
+	}
+	c := p.startFlight(`"s0", "s1"`, "s0", "s1")
+	_, err := get(soon(t), c, ticket("q1", "charge-post", 1))
+	require.Equal(t, codes.Aborted, status.Code(err))
+	require.False(t, isRefusal(err))
+	time.Sleep(quietFor)
+	require.Len(t, append(servers[0].parts(), servers[1].parts()...), 1)
+}
+
+// Where a server refuses, or cannot be reached, nothing has run: another is tried, and in the end the query
+// is refused.
+func TestFlightRefusals(t *testing.T) {
+	p := newPlayer(t)
+	full, err := status.New(codes.Unavailable, "full").WithDetails(&errdetails.RetryInfo{})
+	require.NoError(t, err)
+	var once sync.Once
+	answer := func(mt mothflight.PartTicket, s flight.FlightService_DoGetServer) (err error) {
+		once.Do(func() { err = full.Err() })
+		if err == nil {
+			err = value(mt, s)
+		}
+		return err
+	}
+	s0, s1 := p.flightServer("s0", answer), p.flightServer("s1", answer)
+	c := p.startFlight(`"s0", "s1", "s2"`, "s0", "s1")
+	a, err := get(soon(t), c, ticket("q1", "charge-post", 1))
+	require.NoError(t, err)
+	require.True(t, a.closing.Whole)
+	require.Len(t, append(s0.parts(), s1.parts()...), 2)
+
+	p = newPlayer(t)
+	p.play("s2 is down", "")
+	c = p.startFlight(`"s2"`, "s2")
+	_, err = get(soon(t), c, ticket("q1", "charge-post", 1))
+	require.True(t, isRefusal(err), "%v", err)
+}
+
+func TestFlightCancelAndDeadline(t *testing.T) {
+	p := newPlayer(t)
+	came, ended := make(chan time.Time, 9), make(chan struct{}, 9)
+	p.flightServer("s0", func(_ mothflight.PartTicket, s flight.FlightService_DoGetServer) error {
+		d, _ := s.Context().Deadline()
+		came <- d
+		<-s.Context().Done()
+		ended <- struct{}{}
+		return s.Context().Err()
+	})
+	c := p.startFlight(`"s0"`, "s0")
+	ctx, cancel := context.WithCancel(soon(t))
+	gone := make(chan error, 1)
+	go func() {
+		_, err := get(ctx, c, ticket("q1", "charge-post", 1))
+		gone <- err
+	}()
+	<-came
+	cancel()
+	require.Equal(t, codes.Canceled, status.Code(<-gone))
+	<-ended // the record server is told
+
+	deadline := time.Now().Add(300 * time.Millisecond)
+	ctx, cancel = context.WithDeadline(soon(t), deadline)
+	defer cancel()
+	_, err := get(ctx, c, ticket("q1", "charge-post", 1)) // its id is free again
+	require.Equal(t, codes.Aborted, status.Code(err))     // the broker's own word, before the time is up
+	require.True(t, time.Now().Before(deadline))
+	require.False(t, (<-came).After(deadline.Add(20*time.Millisecond)))
+	<-ended
+}
+
+// An answer that lacks parts says so; one that is cut has no closing word at all.
+func TestFlightAnswersThatAreNotWhole(t *testing.T) {
+	p := newPlayer(t)
+	p.flightServer("s0", func(mt mothflight.PartTicket, s flight.FlightService_DoGetServer) error {
+		if mt.Partition == 4 {
+			<-s.Context().Done()
+			return s.Context().Err()
+		}
+		return rows(s, strings.Repeat("v", 60<<10))
+	})
+	c := p.startFlight(`"s0"`, "s0")
+	a, err := get(soon(t), c, ticket("q1", "tariff-report", 5))
+	require.NoError(t, err)
+	require.Equal(t, &mothflight.Closing{ID: "q1", Class: "tariff-report", Parts: 4}, a.closing)
+
+	stream, err := c.DoGet(soon(t), &flight.Ticket{Ticket: ticket("q2", "tariff-report", 4)})
+	require.NoError(t, err)
+	first, err := stream.Recv() // the schema; the rows need more than the window of a client that reads no more
+	require.NoError(t, err)
+	require.Empty(t, first.AppMetadata)
+	time.Sleep(50 * time.Millisecond)
+	require.NoError(t, p.cmd.Process.Kill())
+	for err == nil {
+		var m *flight.FlightData
+		if m, err = stream.Recv(); err == nil {
+			require.NotContains(t, string(m.AppMetadata), "whole")
+		}
+	}
+	require.NotErrorIs(t, err, io.EOF)
+}
--- a/cmd/mothrouter/main.go
+++ b/cmd/mothrouter/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"log/slog"
 	"net"
@@ -18,6 +19,7 @@
 	"cloverhook/internal/broker"
 	"cloverhook/internal/config"
 	"cloverhook/internal/discovery"
+	"cloverhook/internal/flight"
 	"cloverhook/internal/front"
 	"cloverhook/internal/upstream"
 )
@@ -25,17 +27,23 @@
 const (
 	stillAccepts = 500 * time.Millisecond // after SIGTERM: connections keep coming for up to 0.4 s
 	memoryShare  = 0.7                    // of the limit, for the Go heap
-	connsShare   = 0.5                    // of the descriptors, for clients
+	connsShare   = 0.5                    // of the descriptors, for the platform's clients
 )
 
 func main() {
-	if err := run(os.Getenv); err != nil {
+	flightFile := flag.String("flight", "", "`file` that switches Arrow Flight on, such as deploy/flight.toml")
+	flag.Parse()
+	if flag.NArg() > 0 {
+		flag.Usage()
+		os.Exit(2)
+	}
+	if err := run(os.Getenv, *flightFile); err != nil {
 		fmt.Fprintln(os.Stderr, "mothrouter:", err)
 		os.Exit(1)
 	}
 }
 
-func run(getenv func(string) string) error {
+func run(getenv func(string) string, flightFile string) error {
 	cfg, err := config.Load(getenv)
 	if err != nil {
 		return err
@@ -49,9 +57,16 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 
-	link := upstream.New(ctx, upstream.Options{
+	var link broker.Link = upstream.New(ctx, upstream.Options{
 		Streams: cfg.Streams, Idle: cfg.ConnIdle, ConnectTimeout: cfg.ConnectTimeout,
 	})
+	var partners *config.Flight
+	if flightFile != "" {
+		if partners, err = config.LoadFlight(flightFile); err != nil {
+			return err
+		}
+		link = mixed(ctx, cfg, partners, link)
+	}
 	core := broker.New(broker.Options{Settings: cfg.Settings, OpenCap: cfg.OpenCap, Log: log},
 		cloverhook.New(cfg.Settings, cfg.Seed), link)
 	go core.Run(ctx)
@@ -68,8 +83,20 @@
 	clients := front.New(front.Options{
 		Classes: cfg.Classes, Shards: cfg.Shards, ConnsMax: int(connsShare * float64(cfg.Sockets)),
 	}, core, log)
-	served := make(chan error, 1)
+	served := make(chan error, 2)
 	go func() { served <- clients.Serve(listener) }()
+	var flights *flight.Front
+	if partners != nil {
+		l, err := net.Listen("tcp", partners.Listen)
+		if err != nil {
+			return fmt.Errorf("flight.listen: %w", err)
+		}
+		flights = flight.NewFront(flight.Options{
+			Classes: cfg.Classes, Patience: cfg.Patience(), Shards: cfg.Shards,
+			ConnsMax: partners.Connections, Streams: uint32(cfg.Streams),
+		}, core)
+		go func() { served <- flights.Serve(l, log) }()
+	}
 	log.Info("serving", "listen", cfg.Listen, "servers", len(cfg.Known.Servers))
 
 	select {
@@ -79,9 +106,31 @@
 	}
 	log.Info("ending")
 	clients.Closing()
-	time.Sleep(stillAccepts)
-	listener.Close()
+	wait := time.NewTimer(stillAccepts)
+	select {
+	case err := <-served:
+		wait.Stop()
+		return err
+	case <-wait.C:
+	}
+	if err := listener.Close(); err != nil {
+		log.Warn("the listener did not close", "err", err)
+	}
 	clients.End(ctx)
+	if flights != nil {
+		flights.Stop(ctx)
+	}
 	core.Drain(ctx)
 	return nil
 }
+
+// mixed is the link to servers of both protocols.
+func mixed(ctx context.Context, cfg *config.Config, partners *config.Flight, frames broker.Link) broker.Link {
+	speaks := map[string]bool{}
+	for _, id := range partners.Servers {
+		speaks[id] = true
+	}
+	return &flight.Mixed{Frames: frames, Speaks: speaks, Flight: flight.NewLink(ctx, flight.LinkOptions{
+		Streams: cfg.Streams, Idle: cfg.ConnIdle, ConnectTimeout: cfg.ConnectTimeout,
+	})}
+}
--- /dev/null
+++ b/cmd/mothrouter/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package main_test
+
+func init() { buildFlags = append(buildFlags, "-race") }
--- /dev/null
+++ b/internal/broker/broker_test.go
@@ -0,0 +1,292 @@
+package broker_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cloverhook"
+	"cloverhook/internal/broker"
+)
+
+// script is a Decider that does what the test says, whether or not the rules allow it.
+type script struct {
+	events  chan cloverhook.Event
+	actions chan []cloverhook.Action
+}
+
+func (s script) Handle(_ float64, events []cloverhook.Event) []cloverhook.Action {
+	for _, e := range events {
+		s.events <- e
+	}
+	select {
+	case a := <-s.actions:
+		return a
+	default:
+		return nil
+	}
+}
+
+// link keeps the calls that it is handed.
+type link struct{ sent, cancelled chan *broker.Call }
+
+func (l link) Send(c *broker.Call)   { l.sent <- c }
+func (l link) Cancel(c *broker.Call) { l.cancelled <- c }
+func (l link) Probe(p *broker.Probe) {
+	p.Done(broker.Reply{Status: cloverhook.OK, Load: cloverhook.NoLoad})
+}
+
+type client chan broker.Result
+
+func (c client) Finish(r broker.Result) { c <- r }
+
+type rig struct {
+	*testing.T
+	script
+	link
+	b *broker.Broker
+}
+
+const (
+	safe = iota
+	unsafe
+	partial
+)
+
+func newRig(t *testing.T) *rig {
+	r := &rig{T: t, script: script{make(chan cloverhook.Event, 100), make(chan []cloverhook.Action, 10)},
+		link: link{make(chan *broker.Call, 10), make(chan *broker.Call, 10)}}
+	set := cloverhook.Settings{Cells: 4, Reach: 2, MaxAttempts: 3, RetryAfter: true, MaxWait: 0.5,
+		ReportMode: cloverhook.ReportPiggyback, Classes: []cloverhook.Class{
+			{Deadline: 4, Need: 1, Floor: 1},
+			{Deadline: 4, Need: 1, Floor: 1, Repeat: cloverhook.RepeatUnsafe},
+			{Deadline: 4, Need: 1, Floor: 0.8}}}
+	r.b = broker.New(broker.Options{Settings: set, OpenCap: 7}, r.script, r.link)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go r.b.Run(ctx)
+	r.list(cloverhook.ListCached, "s0", 0, cloverhook.Ready, "s1", 1, cloverhook.Ready, "s2", 2, cloverhook.Ready)
+	return r
+}
+
+// list tells id, cell and state of servers.
+func (r *rig) list(mode cloverhook.ListMode, entries ...any) {
+	l := broker.List{Mode: mode}
+	for i := 0; i < len(entries); i += 3 {
+		l.Servers = append(l.Servers, broker.ListEntry{Addr: entries[i].(string), Server: cloverhook.Server{
+			ID: entries[i].(string), Cell: entries[i+1].(int), State: entries[i+2].(cloverhook.State)}})
+	}
+	r.b.Update(l)
+	event[cloverhook.List](r)
+}
+
+// event waits for the next event of a kind.
+func event[E cloverhook.Event](r *rig) E {
+	r.Helper()
+	for limit := time.After(2 * time.Second); ; {
+		select {
+		case e := <-r.events:
+			if e, ok := e.(E); ok {
+				return e
+			}
+		case <-limit:
+			require.FailNow(r, "no such event came")
+		}
+	}
+}
+
+// take hands a query of equal parts at shards 1, 2 ... over and returns the ids of query and first part.
+func (r *rig) take(name string, class, parts int, patience time.Duration) (cloverhook.RequestID, cloverhook.RequestID, client, *broker.Request) {
+	req := &broker.Request{ID: name, Class: class, Arrived: time.Now(), Patience: patience, Text: []byte("x")}
+	for i := range parts {
+		req.Parts = append(req.Parts, broker.Part{Shard: i + 1, Share: 1 / float64(parts)})
+	}
+	require.NoError(r, req.Check(24))
+	c := make(client, 1)
+	r.b.Take(req, c)
+	q := event[cloverhook.Query](r)
+	first := event[cloverhook.Part](r).ID
+	for range parts - 1 {
+		event[cloverhook.Part](r)
+	}
+	return q.ID, first, c, req
+}
+
+// do has the Decider act, woken by an event that means nothing.
+func (r *rig) do(actions ...cloverhook.Action) {
+	r.actions <- actions
+	r.list(cloverhook.ListDelta)
+}
+
+func (r *rig) send(id cloverhook.RequestID, server string) *broker.Call {
+	r.do(cloverhook.Send{ID: id, Server: server})
+	return <-r.sent
+}
+
+func done(status cloverhook.Status) broker.Reply {
+	return broker.Reply{Status: status, Load: cloverhook.NoLoad, Value: []byte("v")}
+}
+
+func TestForbiddenSendsAreStopped(t *testing.T) {
+	r := newRig(t)
+	_, part, _, _ := r.take("q", unsafe, 1, time.Second)
+	stopped := func(server string) {
+		t.Helper()
+		r.do(cloverhook.Send{ID: part, Server: server})
+		require.Equal(t, cloverhook.NotSent, event[cloverhook.Ended](r).Status)
+		require.Empty(t, r.sent)
+	}
+	stopped("unheard-of")
+	stopped("s0") // shard 1 is held by cells 1 and 2
+	r.send(part, "s2").Done(done(cloverhook.OK))
+	require.Equal(t, cloverhook.OK, event[cloverhook.Ended](r).Status)
+}
+
+func TestUnsafePartsThatMayHaveRunAreNotSentAgain(t *testing.T) {
+	for status, again := range map[cloverhook.Status]bool{
+		cloverhook.Overloaded: true, cloverhook.Unreachable: true, cloverhook.NotSent: true,
+		cloverhook.Error: false, cloverhook.Reset: false, cloverhook.TimedOut: false,
+	} {
+		r := newRig(t)
+		q, part, c, _ := r.take("q", unsafe, 1, time.Second)
+		call := r.send(part, "s1")
+		require.True(t, call.Begin())
+		call.Done(done(status))
+		event[cloverhook.Ended](r)
+		r.do(cloverhook.Send{ID: part, Server: "s2"})
+		if again {
+			(<-r.sent).Done(done(cloverhook.Overloaded))
+		}
+		event[cloverhook.Ended](r)
+		require.Empty(t, r.sent)
+		// Nor is such a query refused: that would tell the client that a repeat is harmless.
+		r.do(cloverhook.Refuse{ID: q, RetryAfter: 0.5})
+		want := broker.Result{Outcome: broker.Failed}
+		if again {
+			want = broker.Result{Outcome: broker.Refused, RetryAfter: 0.5}
+		}
+		require.Equal(t, want, <-c)
+	}
+}
+
+func TestOneAttemptAtATimeAndNoMoreThanAllowed(t *testing.T) {
+	r := newRig(t)
+	_, part, _, _ := r.take("q", safe, 1, time.Second)
+	call := r.send(part, "s1")
+	r.do(cloverhook.Send{ID: part, Server: "s2"}) // while one is out
+	require.Equal(t, cloverhook.NotSent, event[cloverhook.Ended](r).Status)
+	call.Done(done(cloverhook.Error))
+	event[cloverhook.Ended](r)
+	r.send(part, "s2").Done(done(cloverhook.Error))
+	event[cloverhook.Ended](r)
+	r.do(cloverhook.Send{ID: part, Server: "s1"}) // the fourth of three
+	require.Equal(t, cloverhook.NotSent, event[cloverhook.Ended](r).Status)
+	require.Empty(t, r.sent)
+}
+
+func TestNothingNewGoesToAServerThatLeaves(t *testing.T) {
+	r := newRig(t)
+	_, part, _, _ := r.take("q", safe, 1, time.Second)
+	waiting := r.send(part, "s1") // no connection yet when the list speaks
+	r.list(cloverhook.ListDelta, "s1", 1, cloverhook.Draining)
+	require.False(t, waiting.Begin())
+	require.Equal(t, cloverhook.NotSent, event[cloverhook.Ended](r).Status)
+	r.do(cloverhook.Send{ID: part, Server: "s1"})
+	require.Equal(t, cloverhook.NotSent, event[cloverhook.Ended](r).Status)
+	r.list(cloverhook.ListFull, "s1", 1, cloverhook.Ready) // back; those that a full list lacks are gone
+	r.do(cloverhook.Send{ID: part, Server: "s2"})
+	require.Equal(t, cloverhook.NotSent, event[cloverhook.Ended](r).Status)
+	require.Empty(t, r.sent)
+}
+
+func TestALateAnswerEndsNothing(t *testing.T) {
+	r := newRig(t)
+	q, part, c, _ := r.take("q", safe, 1, time.Second)
+	old := r.send(part, "s1")
+	require.True(t, old.Begin())
+	r.do(cloverhook.Cancel{ID: part, Attempt: 0})
+	require.Equal(t, old, <-r.cancelled)
+	require.Equal(t, cloverhook.Cancelled, event[cloverhook.Ended](r).Status)
+	young := r.send(part, "s2")
+	old.Done(broker.Reply{Status: cloverhook.OK, Value: []byte("old")})
+	young.Done(broker.Reply{Status: cloverhook.OK, Value: []byte("new")})
+	require.Equal(t, 1, event[cloverhook.Ended](r).Attempt)
+	r.do(cloverhook.Answer{ID: q, Whole: true})
+	require.Equal(t, broker.Result{Whole: true, Values: []broker.Value{{1, []byte("new")}}}, <-c)
+}
+
+func TestWhatWasNeverBegunCannotHaveRun(t *testing.T) {
+	r := newRig(t)
+	_, part, _, _ := r.take("q", unsafe, 1, time.Second)
+	r.do(cloverhook.Send{ID: part, Server: "s1", Timeout: 0.02})
+	waiting := <-r.sent
+	require.Equal(t, cloverhook.NotSent, event[cloverhook.Ended](r).Status)
+	require.False(t, waiting.Begin())
+	r.send(part, "s2")
+}
+
+func TestNoAnswerUnderTheFloor(t *testing.T) {
+	r := newRig(t)
+	q, part, c, _ := r.take("q", partial, 2, time.Second)
+	r.send(part, "s1").Done(done(cloverhook.OK))
+	event[cloverhook.Ended](r)
+	r.do(cloverhook.Answer{ID: q, Whole: true}) // half of it: the floor is 0.8
+	require.Equal(t, broker.Result{Outcome: broker.Failed}, <-c)
+}
+
+func TestAPartialAnswerIsNotMarkedWhole(t *testing.T) {
+	r := newRig(t)
+	req := &broker.Request{ID: "q", Class: partial, Arrived: time.Now(), Patience: time.Second,
+		Parts: []broker.Part{{Shard: 1, Share: 0.85}, {Shard: 2, Share: 0.15}}}
+	c := make(client, 1)
+	r.b.Take(req, c)
+	q := event[cloverhook.Query](r)
+	r.send(event[cloverhook.Part](r).ID, "s1").Done(done(cloverhook.OK))
+	event[cloverhook.Ended](r)
+	r.do(cloverhook.Answer{ID: q.ID, Whole: true})
+	require.Equal(t, broker.Result{Values: []broker.Value{{1, []byte("v")}}}, <-c)
+}
+
+func TestEachQueryEndsInTimeAndOnce(t *testing.T) {
+	r := newRig(t)
+	q, _, c, req := r.take("q", safe, 1, 50*time.Millisecond)
+	require.Equal(t, broker.Overdue, (<-c).Outcome) // the Decider has forgotten it
+	require.Less(t, time.Since(req.Arrived), 50*time.Millisecond)
+	event[cloverhook.ClientGone](r)
+	r.do(cloverhook.Fail{ID: q}, cloverhook.Answer{ID: q}, cloverhook.Refuse{ID: q})
+	require.Empty(t, c)
+}
+
+func TestOpenCapAndNames(t *testing.T) {
+	r := newRig(t) // 7 queries and parts
+	_, _, first, req := r.take("q", safe, 4, time.Second)
+	more := make(client, 1)
+	r.b.Take(&broker.Request{ID: "q", Arrived: time.Now(), Patience: time.Second, Parts: make([]broker.Part, 1)}, more)
+	require.Equal(t, broker.Duplicate, (<-more).Outcome)
+	r.b.Take(&broker.Request{ID: "q2", Arrived: time.Now(), Patience: time.Second, Parts: make([]broker.Part, 2)}, more)
+	require.Equal(t, broker.Result{Outcome: broker.Refused, RetryAfter: 0.5}, <-more)
+	r.b.Leave(req)
+	event[cloverhook.ClientGone](r)
+	r.take("q", safe, 5, time.Second)
+	require.Empty(t, first)
+}
+
+func TestCheckNamesWhatIsWrong(t *testing.T) {
+	for want, change := range map[string]func(*broker.Request){
+		"id":                   func(r *broker.Request) { r.ID = "a b" },
+		"deadline":             func(r *broker.Request) { r.Patience = 0 },
+		"targets: a":           func(r *broker.Request) { r.Parts = nil },
+		"targets[1].partition": func(r *broker.Request) { r.Parts[1].Shard = 1 },
+		"targets[1].share":     func(r *broker.Request) { r.Parts[1].Share = -1 },
+		"targets[0].est_us":    func(r *broker.Request) { r.Parts[0].Work = -1 },
+		"targets: the shares":  func(r *broker.Request) { r.Parts[0].Share = 0.1 },
+	} {
+		r := &broker.Request{ID: "q", Patience: time.Second, Parts: []broker.Part{{Shard: 1, Share: 0.5}, {Shard: 2, Share: 0.4999}}}
+		require.NoError(t, r.Check(24))
+		require.InDelta(t, 1, r.Parts[0].Share+r.Parts[1].Share, 1e-9) // rounded shares still make a whole
+		change(r)
+		require.ErrorContains(t, r.Check(24), want)
+	}
+}
--- a/internal/broker/query.go
+++ b/internal/broker/query.go
@@ -10,25 +10,6 @@
 // sumSlack is the rounding of shares; the rules allow 0.0001.
 const sumSlack = 1e-6
 
-// Request is one query as a front took it. The core keeps Text and Parts: they must outlive the call.
-type Request struct {
-	ID       string // the client's name for it
-	Class    int
-	Retry    bool
-	Arrived  time.Time
-	Patience time.Duration // how long the client waits
-	Parts    []Part
-	Text     []byte // what each part carries
-}
-
-// Part is one part of a request.
-type Part struct {
-	Shard int
-	Share float64 // of the whole answer
-	Work  float64 // seconds expected; 0: unknown
-	Route uint64
-}
-
 // Outcome is how a query ended.
 type Outcome int
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -43,6 +43,14 @@
 	leastSockets    = 64
 )
 
+// Patience is, by class, how long a client waits that does not say so.
+func (c *Config) Patience() (p []time.Duration) {
+	for _, class := range c.Settings.Classes {
+		p = append(p, time.Duration(class.Deadline*float64(time.Second)))
+	}
+	return p
+}
+
 // file is PROXY_CONFIG.
 type file struct {
 	Name      string `json:"name"`
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,92 @@
+package config_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cloverhook"
+	"cloverhook/internal/config"
+)
+
+const good = `{"name":"n3","listen":"127.0.0.1:8443","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+"limits":{"cores":1.0,"memory_mb":128,"sockets":512},
+"known":{"version":41,"full":true,"servers":[{"id":"s1","addr":"127.0.0.1:1","zone":"b","kind":"m2","cell":3,
+"state":"leaving","weight":1.5,"started_ms":2500}]},
+"settings":{"classes":[{"name":"c","deadlineS":2,"objectiveS":1,"semantics":"free"}],"zones":["a","b"],
+"machineTypes":["m2"],"caps":{"openCap":9,"connIdleS":3,"connectTimeoutS":0.5,"streamsPerConn":7},
+"familyInfo":{"cells":4,"slabs":8}}}`
+
+func load(t *testing.T, text string, env map[string]string) (*config.Config, error) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return config.Load(func(key string) string {
+		if key == "PROXY_CONFIG" {
+			return path
+		}
+		return env[key]
+	})
+}
+
+func TestLoad(t *testing.T) {
+	c, err := load(t, good, map[string]string{"PROXY_NAME": "n4", "PROXY_LISTEN": "127.0.0.1:9"})
+	require.NoError(t, err)
+	require.Equal(t, []any{"n4", "127.0.0.1:9", "127.0.0.1:8500", uint64(0x8c1f30d27a5be964), 128, 512},
+		[]any{c.Name, c.Listen, c.Discovery, c.Seed, c.MemoryMB, c.Sockets})
+	require.Equal(t, []any{9, 8, 7, 3 * time.Second, 500 * time.Millisecond, map[string]int{"c": 0}, int64(41)},
+		[]any{c.OpenCap, c.Shards, c.Streams, c.ConnIdle, c.ConnectTimeout, c.Classes, c.Version})
+	require.Equal(t, cloverhook.ListCached, c.Known.Mode)
+	require.Equal(t, cloverhook.Server{ID: "s1", Zone: 1, Cell: 3, State: cloverhook.Draining, Capacity: 1.5, Started: 2.5},
+		c.Known.Servers[0].Server)
+	require.Equal(t, []time.Duration{2 * time.Second}, c.Patience())
+}
+
+func TestErrorsNameTheKey(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{`"listen":"127.0.0.1:8443",`, ``, "listen: is missing"},
+		{`"discovery":"127.0.0.1:8500"`, `"discovery":"x"`, "discovery: "},
+		{`8c1f30d27a5be964`, `zz`, "seed: "},
+		{`"memory_mb":128`, `"memory_mb":1`, "limits.memory_mb: "},
+		{`"sockets":512`, `"sockets":5`, "limits.sockets: "},
+		{`"state":"leaving"`, `"state":"odd"`, "known: servers[0].state: "},
+		{`"id":"s1"`, `"id":""`, "known: servers[0]: "},
+		{`"deadlineS":2`, `"deadlineS":0`, "settings.classes[0].deadlineS: "},
+		{`"name":"c"`, `"name":""`, "settings.classes[0].name: "},
+		{`"semantics":"free"`, `"semantics":"odd"`, "settings: classes[0].semantics: "},
+		{`"cells":4`, `"cells":0`, "settings.familyInfo.cells: "},
+		{`"openCap":9`, `"openCap":-9`, "settings.caps.openCap: "},
+		{`"connIdleS":3`, `"connIdleS":0`, "settings.caps.connIdleS: "},
+		{`"connectTimeoutS":0.5`, `"connectTimeoutS":-1`, "settings.caps.connectTimeoutS: "},
+		{`"streamsPerConn":7`, `"streamsPerConn":0`, "settings.caps.streamsPerConn: "},
+		{`"settings":{`, `"odd":{`, "settings: is missing"},
+		{`{"name"`, `["name"`, "PROXY_CONFIG: "},
+	} {
+		require.Contains(t, good, c.old)
+		_, err := load(t, strings.Replace(good, c.old, c.new, 1), nil)
+		require.ErrorContains(t, err, c.want)
+	}
+	_, err := config.Load(func(string) string { return "" })
+	require.EqualError(t, err, "PROXY_CONFIG: is not set")
+}
+
+func TestFlight(t *testing.T) {
+	f, err := config.LoadFlight("../../deploy/flight.toml")
+	require.NoError(t, err)
+	require.Equal(t, &config.Flight{Listen: "127.0.0.1:8815", Servers: []string{}, Connections: 64}, f)
+	for text, want := range map[string]string{
+		`servers = []`:                       "flight.listen: is missing",
+		"listen = \"a:1\"\nserver = []":      "flight.server: is not known",
+		"listen = \"a:1\"\nservers = [\"\"]": "flight.servers: entry 0",
+		"listen = \"a:1\"\nconnections = 0":  "flight.connections: ",
+		"listen = 1":                         "flight: ",
+	} {
+		path := filepath.Join(t.TempDir(), "f.toml")
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		_, err := config.LoadFlight(path)
+		require.ErrorContains(t, err, want)
+	}
+}
--- /dev/null
+++ b/internal/flight/flight.go
@@ -0,0 +1,111 @@
+// Package flight is the Arrow Flight side of mothrouter: a front for partner billing systems and a link to
+// record servers that speak Flight. docs/flight.md describes the tickets, schemas, metadata and statuses.
+package flight
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/apache/arrow-go/v18/arrow"
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"cloverhook/internal/broker"
+	"cloverhook/internal/httpwire"
+)
+
+const maxMessage = httpwire.MaxBody + 4<<10 // a body of the platform's, in an envelope
+
+// Ticket asks a broker for a query: the platform's body with what its header says. How long the client
+// waits is the call's own deadline.
+type Ticket struct {
+	ID    string `json:"id"`
+	Class string `json:"class"`
+	Retry bool   `json:"retry,omitempty"`
+	httpwire.Body
+}
+
+// PartTicket asks a record server for one part.
+type PartTicket struct {
+	ID        string `json:"id"` // the query's id, a dot and the partition
+	Partition int    `json:"partition"`
+	Query     string `json:"query"`
+}
+
+// Closing is the metadata of an answer's last message. An answer without it has been cut and is not whole.
+type Closing struct {
+	ID    string `json:"id"`
+	Class string `json:"class"`
+	Whole bool   `json:"whole"`
+	Parts int    `json:"parts"` // so many rows came
+}
+
+// The schema's metadata carries these keys.
+const (
+	idKey    = "mothrouter.id"
+	classKey = "mothrouter.class"
+)
+
+// answerSchema is that of a broker's answer.
+func answerSchema(id, class string) *arrow.Schema {
+	md := arrow.NewMetadata([]string{idKey, classKey}, []string{id, class})
+	return arrow.NewSchema([]arrow.Field{
+		{Name: "partition", Type: arrow.PrimitiveTypes.Int32},
+		{Name: "value", Type: arrow.BinaryTypes.String},
+	}, &md)
+}
+
+// The status mapping. UNAVAILABLE with RetryInfo says that trying again is harmless; gRPC itself makes
+// UNAVAILABLE too, of a connection that broke, and then without RetryInfo.
+var codeOf = map[broker.Outcome]codes.Code{
+	broker.Refused: codes.Unavailable, broker.Failed: codes.Aborted,
+	broker.Overdue: codes.DeadlineExceeded, broker.Duplicate: codes.AlreadyExists,
+}
+
+var saidOf = map[broker.Outcome]string{
+	broker.Refused: "refused: trying again is harmless", broker.Failed: "failed: parts may have run",
+	broker.Overdue: "the time is up", broker.Duplicate: "a query of this id is being served",
+}
+
+// statusOf is the status of a query that was not answered.
+func statusOf(r broker.Result) error {
+	s := status.New(codeOf[r.Outcome], saidOf[r.Outcome])
+	if r.Outcome != broker.Refused {
+		return s.Err()
+	}
+	detailed, err := s.WithDetails(&errdetails.RetryInfo{
+		RetryDelay: durationpb.New(secondsOf(r.RetryAfter)),
+	})
+	if err != nil { // without RetryInfo it must not be taken for a refusal
+		return status.Error(codes.Aborted, err.Error())
+	}
+	return detailed.Err()
+}
+
+// refused tells whether a status is a refusal: nothing unsafe has run.
+func refused(err error) bool {
+	s, ok := status.FromError(err)
+	if !ok || s.Code() != codes.Unavailable {
+		return false
+	}
+	for _, d := range s.Details() {
+		if _, ok := d.(*errdetails.RetryInfo); ok {
+			return true
+		}
+	}
+	return false
+}
+
+func parseTicket(text []byte) (*Ticket, error) {
+	var t Ticket
+	if len(text) > maxMessage {
+		return nil, errors.New("the ticket is too long")
+	}
+	if err := json.Unmarshal(text, &t); err != nil {
+		return nil, fmt.Errorf("ticket: %w", err)
+	}
+	return &t, nil
+}
--- /dev/null
+++ b/internal/flight/front.go
@@ -0,0 +1,177 @@
+package flight
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/apache/arrow-go/v18/arrow/array"
+	"github.com/apache/arrow-go/v18/arrow/flight"
+	"github.com/apache/arrow-go/v18/arrow/ipc"
+	"github.com/apache/arrow-go/v18/arrow/memory"
+	"golang.org/x/net/netutil"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	"cloverhook/internal/broker"
+)
+
+func secondsOf(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Core is what the front needs of the broker.
+type Core interface {
+	Take(*broker.Request, broker.Client)
+	Leave(*broker.Request)
+}
+
+// Options are what the deployment fixes.
+type Options struct {
+	Classes  map[string]int  // class by name
+	Patience []time.Duration // by class: how long a client waits that sets no deadline
+	Shards   int             // 0: not told
+	ConnsMax int             // connections held at most
+	Streams  uint32          // calls at once on a connection
+}
+
+// Front serves Flight clients on the same core as the platform's front.
+type Front struct {
+	flight.BaseFlightServer
+	opt    Options
+	core   Core
+	server *grpc.Server
+}
+
+// NewFront makes a front to core.
+func NewFront(opt Options, core Core) *Front {
+	f := &Front{opt: opt, core: core}
+	f.server = grpc.NewServer(
+		grpc.MaxRecvMsgSize(maxMessage), grpc.MaxConcurrentStreams(max(opt.Streams, 1)),
+		grpc.MaxHeaderListSize(8<<10), grpc.ConnectionTimeout(10*time.Second),
+		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: 90 * time.Second}),
+	)
+	flight.RegisterFlightServiceServer(f.server, f)
+	return f
+}
+
+// Serve accepts until Stop.
+func (f *Front) Serve(l net.Listener, log *slog.Logger) error {
+	log.Info("serving Arrow Flight", "listen", l.Addr().String())
+	return f.server.Serve(netutil.LimitListener(l, max(f.opt.ConnsMax, 1)))
+}
+
+// Stop takes nothing new and waits for what is held; when ctx ends, it ends that too.
+func (f *Front) Stop(ctx context.Context) {
+	stop := context.AfterFunc(ctx, f.server.Stop)
+	f.server.GracefulStop()
+	stop()
+}
+
+// request makes a core's request of a ticket.
+func (f *Front) request(ctx context.Context, text []byte) (*broker.Request, *Ticket, error) {
+	now := time.Now()
+	t, err := parseTicket(text)
+	if err != nil {
+		return nil, nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	class, ok := f.opt.Classes[t.Class]
+	if !ok {
+		return nil, nil, status.Errorf(codes.NotFound, "class: no class of query is named %q", t.Class)
+	}
+	r := &broker.Request{
+		ID: t.ID, Class: class, Retry: t.Retry, Arrived: now, Patience: f.opt.Patience[class],
+		Text: []byte(t.Query),
+	}
+	if d, ok := ctx.Deadline(); ok {
+		r.Patience = d.Sub(now)
+	}
+	if r.Parts, err = t.Parts(); err == nil {
+		err = r.Check(f.opt.Shards)
+	}
+	if err != nil {
+		return nil, nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	return r, t, nil
+}
+
+// client is a query's end on this front.
+type client chan broker.Result
+
+// Finish is called by the core's loop.
+func (c client) Finish(r broker.Result) { c <- r }
+
+// DoGet serves one query: rows of the parts that are in, then the closing metadata.
+func (f *Front) DoGet(ticket *flight.Ticket, stream flight.FlightService_DoGetServer) error {
+	ctx := stream.Context()
+	r, t, err := f.request(ctx, ticket.GetTicket())
+	if err != nil {
+		return err
+	}
+	c := make(client, 1)
+	f.core.Take(r, c)
+	select {
+	case res := <-c:
+		if res.Outcome != broker.Answered {
+			return statusOf(res)
+		}
+		return writeAnswer(stream, t, res)
+	case <-ctx.Done():
+		f.core.Leave(r)
+		return status.FromContextError(ctx.Err()).Err()
+	}
+}
+
+// writeAnswer sends the rows, and only behind them the mark whether they are the whole.
+func writeAnswer(stream flight.DataStreamWriter, t *Ticket, res broker.Result) error {
+	schema := answerSchema(t.ID, t.Class)
+	w := flight.NewRecordWriter(stream, ipc.WithSchema(schema))
+	b := array.NewRecordBuilder(memory.DefaultAllocator, schema)
+	defer b.Release()
+	for _, v := range res.Values {
+		b.Field(0).(*array.Int32Builder).Append(int32(v.Shard))
+		b.Field(1).(*array.StringBuilder).Append(string(v.Data))
+	}
+	rec := b.NewRecordBatch()
+	defer rec.Release()
+	if err := w.Write(rec); err != nil {
+		return status.Error(codes.Aborted, err.Error())
+	}
+	closing, err := json.Marshal(Closing{ID: t.ID, Class: t.Class, Whole: res.Whole, Parts: len(res.Values)})
+	if err == nil {
+		err = w.WriteMetadata(closing)
+	}
+	if err == nil {
+		err = w.Close()
+	}
+	if err != nil {
+		return status.Error(codes.Aborted, err.Error())
+	}
+	return nil
+}
+
+// GetFlightInfo tells how to fetch the query that the descriptor's command holds. Nothing runs yet.
+func (f *Front) GetFlightInfo(ctx context.Context, d *flight.FlightDescriptor) (*flight.FlightInfo, error) {
+	r, t, err := f.request(ctx, d.GetCmd())
+	if err != nil {
+		return nil, err
+	}
+	return &flight.FlightInfo{
+		Schema:           flight.SerializeSchema(answerSchema(t.ID, t.Class), memory.DefaultAllocator),
+		FlightDescriptor: d,
+		Endpoint:         []*flight.FlightEndpoint{{Ticket: &flight.Ticket{Ticket: d.GetCmd()}}},
+		TotalRecords:     int64(len(r.Parts)), TotalBytes: -1,
+	}, nil
+}
+
+// GetSchema tells the schema of a query's answer.
+func (f *Front) GetSchema(ctx context.Context, d *flight.FlightDescriptor) (*flight.SchemaResult, error) {
+	_, t, err := f.request(ctx, d.GetCmd())
+	if err != nil {
+		return nil, err
+	}
+	schema := answerSchema(t.ID, t.Class)
+	return &flight.SchemaResult{Schema: flight.SerializeSchema(schema, memory.DefaultAllocator)}, nil
+}
--- /dev/null
+++ b/internal/flight/link.go
@@ -0,0 +1,315 @@
+package flight
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"sync"
+	"time"
+	"unicode/utf8"
+
+	"github.com/apache/arrow-go/v18/arrow/array"
+	"github.com/apache/arrow-go/v18/arrow/flight"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	"cloverhook"
+	"cloverhook/internal/broker"
+	"cloverhook/internal/frame"
+	"cloverhook/internal/httpwire"
+)
+
+// LinkOptions are what the deployment fixes.
+type LinkOptions struct {
+	Streams        int           // calls that one connection carries at once
+	Idle           time.Duration // connections idle for so long are closed
+	ConnectTimeout time.Duration
+}
+
+// Link is the link to record servers that speak Flight.
+type Link struct {
+	opt LinkOptions
+	ctx context.Context
+
+	mu    sync.Mutex // guards what follows
+	conns map[string][]*channel
+	calls map[*broker.Call]context.CancelFunc
+}
+
+// channel is one gRPC connection and the calls on it.
+type channel struct {
+	conn   *grpc.ClientConn
+	client flight.Client
+	calls  int
+}
+
+// NewLink makes a link whose connections end with ctx.
+func NewLink(ctx context.Context, opt LinkOptions) *Link {
+	opt.Streams = max(opt.Streams, 1)
+	l := &Link{opt: opt, ctx: ctx, conns: map[string][]*channel{}, calls: map[*broker.Call]context.CancelFunc{}}
+	context.AfterFunc(ctx, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for _, list := range l.conns {
+			for _, ch := range list {
+				ch.conn.Close()
+			}
+		}
+		l.conns = map[string][]*channel{}
+	})
+	return l
+}
+
+// acquire returns a connection with room.
+func (l *Link) acquire(addr string) (*channel, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, ch := range l.conns[addr] {
+		if ch.calls < l.opt.Streams {
+			ch.calls++
+			return ch, nil
+		}
+	}
+	conn, err := grpc.NewClient("passthrough:///"+addr,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		// A part's attempts are the core's to decide: gRPC repeats none by itself.
+		grpc.WithDisableRetry(), grpc.WithDisableServiceConfig(),
+		grpc.WithIdleTimeout(l.opt.Idle*4/5),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second},
+			MinConnectTimeout: l.opt.ConnectTimeout,
+		}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
+	)
+	if err != nil {
+		return nil, err
+	}
+	ch := &channel{conn: conn, client: flight.NewClientFromConn(conn, nil), calls: 1}
+	l.conns[addr] = append(l.conns[addr], ch)
+	return ch, nil
+}
+
+// release takes a call off a connection. Of several to one server, those without calls are closed.
+func (l *Link) release(addr string, ch *channel) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if ch.calls--; ch.calls > 0 || len(l.conns[addr]) < 2 {
+		return
+	}
+	list := l.conns[addr]
+	for i, other := range list {
+		if other == ch {
+			l.conns[addr] = append(list[:i:i], list[i+1:]...)
+			ch.conn.Close()
+		}
+	}
+}
+
+// Send starts a call.
+func (l *Link) Send(c *broker.Call) {
+	ctx, cancel := context.WithDeadline(l.ctx, c.Deadline)
+	l.mu.Lock()
+	l.calls[c] = cancel
+	l.mu.Unlock()
+	go func() {
+		r := l.get(ctx, c)
+		cancel()
+		l.mu.Lock()
+		delete(l.calls, c)
+		l.mu.Unlock()
+		c.Done(r)
+	}()
+}
+
+// Cancel ends a call's stream, and with it the server's wait.
+func (l *Link) Cancel(c *broker.Call) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if cancel := l.calls[c]; cancel != nil {
+		cancel()
+	}
+}
+
+// gate is asked by gRPC for the credentials of a call just before its header is written, and so is where
+// the call is checked for the last time. It lets the header through once: gRPC would send a call again that
+// the server did not process, and then without asking the core.
+type gate struct {
+	call   *broker.Call
+	mu     sync.Mutex
+	passed bool
+	shut   bool // a call was stopped here before anything was written
+}
+
+var errShut = status.Error(codes.FailedPrecondition, "the call may not be sent any more")
+
+// GetRequestMetadata is credentials.PerRPCCredentials'.
+func (g *gate) GetRequestMetadata(context.Context, ...string) (map[string]string, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.passed {
+		return nil, errShut
+	}
+	if !g.call.Begin() {
+		g.shut = true
+		return nil, errShut
+	}
+	g.passed = true
+	return nil, nil
+}
+
+// RequireTransportSecurity is credentials.PerRPCCredentials'.
+func (g *gate) RequireTransportSecurity() bool { return false }
+
+func (g *gate) mayHaveRun() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.passed
+}
+
+func reply(s cloverhook.Status) broker.Reply { return broker.Reply{Status: s, Load: cloverhook.NoLoad} }
+
+// get runs one call to its end.
+func (l *Link) get(ctx context.Context, c *broker.Call) broker.Reply {
+	ch, err := l.acquire(c.Addr)
+	if err != nil {
+		return reply(cloverhook.Unreachable)
+	}
+	defer l.release(c.Addr, ch)
+	ticket, err := json.Marshal(PartTicket{frame.PartID(c.Query, c.Shard), c.Shard, string(c.Text)})
+	if err != nil {
+		return reply(cloverhook.NotSent)
+	}
+	g := &gate{call: c}
+	stream, err := ch.client.DoGet(ctx, &flight.Ticket{Ticket: ticket}, grpc.PerRPCCredentials(g))
+	if err != nil {
+		return broken(err, g)
+	}
+	value, load, err := readPart(stream)
+	switch {
+	case err != nil:
+		return broken(err, g)
+	case !utf8.Valid(value):
+		return reply(cloverhook.Error) // no answer could carry it
+	}
+	return broker.Reply{Status: cloverhook.OK, Load: load, Value: value}
+}
+
+var errTooLong = errors.New("the value is too long")
+
+// readPart reads a part's stream to its status. Only a stream that ends well has brought the part: one that
+// breaks halfway leaves it not in.
+func readPart(stream flight.FlightService_DoGetClient) ([]byte, cloverhook.Load, error) {
+	r, err := flight.NewRecordReader(stream)
+	if err != nil {
+		return nil, cloverhook.NoLoad, err
+	}
+	defer r.Release()
+	column := r.Schema().FieldIndices("value")
+	if len(column) != 1 {
+		return nil, cloverhook.NoLoad, errors.New("a part's schema has one column named value")
+	}
+	value, load := []byte{}, cloverhook.NoLoad
+	for r.Next() {
+		rows, ok := r.RecordBatch().Column(column[0]).(*array.String)
+		if !ok {
+			return nil, load, errors.New("a part's value is utf8")
+		}
+		for i := range rows.Len() {
+			if value = append(value, rows.Value(i)...); len(value) > httpwire.MaxBody {
+				return nil, load, errTooLong
+			}
+		}
+		if md := r.LatestAppMetadata(); len(md) > 0 {
+			if load, err = frame.ParseLoad(md); err != nil {
+				return nil, load, err
+			}
+		}
+	}
+	if err := r.Err(); err != nil && !errors.Is(err, io.EOF) {
+		return nil, load, err
+	}
+	return value, load, nil
+}
+
+// broken is the outcome of a call that ended without an answer. Nothing can have run if its header was
+// never written, or if the server says so; anything else may have run, and above all a stream that ends
+// without a status.
+func broken(err error, g *gate) broker.Reply {
+	switch {
+	case g.shut:
+		return reply(cloverhook.NotSent)
+	case !g.mayHaveRun():
+		return reply(cloverhook.Unreachable)
+	case refused(err):
+		return reply(cloverhook.Overloaded)
+	}
+	switch status.Code(err) {
+	case codes.DeadlineExceeded:
+		return reply(cloverhook.TimedOut)
+	case codes.Unavailable, codes.Internal, codes.Unknown, codes.Canceled:
+		return reply(cloverhook.Reset)
+	}
+	return reply(cloverhook.Error)
+}
+
+// Probe asks a server for its load by the action "load".
+func (l *Link) Probe(p *broker.Probe) {
+	go func() {
+		ctx, cancel := context.WithDeadline(l.ctx, p.Deadline)
+		defer cancel()
+		p.Done(l.ask(ctx, p))
+	}()
+}
+
+func (l *Link) ask(ctx context.Context, p *broker.Probe) broker.Reply {
+	ch, err := l.acquire(p.Addr)
+	if err != nil {
+		return reply(cloverhook.Unreachable)
+	}
+	defer l.release(p.Addr, ch)
+	stream, err := ch.client.DoAction(ctx, &flight.Action{Type: "load"})
+	var res *flight.Result
+	if err == nil {
+		res, err = stream.Recv()
+	}
+	switch status.Code(err) {
+	case codes.OK:
+	case codes.Unavailable:
+		return reply(cloverhook.Unreachable)
+	case codes.DeadlineExceeded, codes.Canceled:
+		return reply(cloverhook.TimedOut)
+	default:
+		return reply(cloverhook.Error)
+	}
+	r := reply(cloverhook.OK)
+	if load, err := frame.ParseLoad(res.GetBody()); err == nil {
+		r.Load = load
+	}
+	return r
+}
+
+// Mixed sends by Flight to the servers that speak it, and by Frames to all others.
+type Mixed struct {
+	Frames, Flight broker.Link
+	Speaks         map[string]bool // ids of servers that speak Flight
+}
+
+func (m *Mixed) to(s *broker.Server) broker.Link {
+	if m.Speaks[s.ID] {
+		return m.Flight
+	}
+	return m.Frames
+}
+
+// Send starts a call.
+func (m *Mixed) Send(c *broker.Call) { m.to(c.Server).Send(c) }
+
+// Cancel ends a call.
+func (m *Mixed) Cancel(c *broker.Call) { m.to(c.Server).Cancel(c) }
+
+// Probe asks a server how it is.
+func (m *Mixed) Probe(p *broker.Probe) { m.to(p.Server).Probe(p) }
--- /dev/null
+++ b/internal/frame/frame_test.go
@@ -0,0 +1,71 @@
+package frame_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cloverhook/internal/frame"
+)
+
+// feed hands bytes to a reader, step at a time, and returns what it says, a line a message.
+func feed(in []byte, step int) string {
+	var d frame.Reader
+	var said strings.Builder
+	for len(in) > 0 {
+		n := copy(d.Space(), in[:min(step, len(in))])
+		d.Filled(n)
+		in = in[n:]
+		for {
+			m, ok, err := d.Next()
+			if err != nil {
+				fmt.Fprintf(&said, "error: %v\n", err)
+				return said.String()
+			}
+			if !ok {
+				break
+			}
+			if m.Letter == 'R' {
+				r := m.Reply
+				fmt.Fprintf(&said, "R %s %d %g/%g %q\n", r.ID, r.Status, r.Load.InFlight, r.Load.Busy, r.Value)
+			} else {
+				fmt.Fprintf(&said, "%c %q\n", m.Letter, m.Rest)
+			}
+		}
+	}
+	return said.String()
+}
+
+// Each case of testdata/frames.txt is bytes as recorded, quoted, and behind them what the machine says,
+// whole and byte by byte.
+func TestReader(t *testing.T) {
+	text, err := os.ReadFile("testdata/frames.txt")
+	require.NoError(t, err)
+	for _, c := range strings.Split(strings.TrimSpace(string(text)), "\n\n") {
+		quoted, want, _ := strings.Cut(c, "\n")
+		var in string
+		_, err := fmt.Sscanf(quoted, "%q", &in)
+		require.NoError(t, err, quoted)
+		for _, step := range []int{1, 3, len(in)} {
+			require.Equal(t, want+"\n", feed([]byte(in), step), "%s in steps of %d", quoted, step)
+		}
+	}
+}
+
+func TestAppend(t *testing.T) {
+	b := frame.AppendCall(nil, frame.PartID("9b1f03aa5c7e2d41", 3), 3, 240, []byte("c41e77d0"))
+	require.Equal(t, "\x00\x00\x00\x26S9b1f03aa5c7e2d41.3 3 d=240 8\nc41e77d0", string(b))
+	require.Equal(t, "\x00\x00\x00\x01M\x00\x00\x00\x04Cq.1", string(frame.Append(frame.Append(nil, 'M', ""), 'C', "q.1")))
+}
+
+func FuzzReader(f *testing.F) {
+	f.Add([]byte("\x00\x00\x00\x0bRq.1 done 1 -\n"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		if whole := feed(in, max(len(in), 1)); whole != feed(in, 1) {
+			t.Errorf("byte by byte it says something else than %q", whole)
+		}
+	})
+}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -3,8 +3,6 @@
 import (
 	"errors"
 	"net"
-	"slices"
-	"strings"
 	"time"
 
 	"cloverhook/internal/broker"
@@ -13,14 +11,17 @@
 
 // conn is one client connection. Its serve goroutine owns it; a second goroutine only reads.
 type conn struct {
-	f      *Front
-	sock   net.Conn
-	in     httpwire.RequestReader
-	out    []byte
-	reply  chan broker.Result // cap 1: a connection has one query at a time
-	wake   chan struct{}      // the front ends
-	held   *broker.Request    // nil: none
-	closes bool               // the held request's client ends the connection after it
+	f       *Front
+	sock    net.Conn
+	in      httpwire.RequestReader
+	out     []byte
+	reply   chan broker.Result // cap 1: a connection has one query at a time
+	wake    chan struct{}      // the front ends
+	spaces  chan []byte        // where the reader reads to
+	ends    chan readEnd       // what it read
+	reading bool               // a read is out
+	held    *broker.Request    // nil: none
+	closes  bool               // the held request's client ends the connection after it
 }
 
 // Finish is called by the core's loop.
@@ -34,27 +35,26 @@
 // serve drives the connection until it ends. One read is always out, so that a client that goes away while
 // it waits is noticed.
 func (c *conn) serve() {
-	spaces, ends := make(chan []byte, 1), make(chan readEnd, 1)
+	c.spaces, c.ends = make(chan []byte, 1), make(chan readEnd, 1)
 	go func() {
-		for p := range spaces {
+		for p := range c.spaces {
 			n, err := c.sock.Read(p)
-			ends <- readEnd{n, err}
+			c.ends <- readEnd{n, err}
 		}
 	}()
-	defer close(spaces)
+	defer close(c.spaces)
 	defer c.sock.Close()
 	idle := time.NewTimer(idleLimit)
 	defer idle.Stop()
-	reading := false
 	started := false // a request has begun to come
 	for {
-		if !reading && !c.in.Full() {
-			spaces <- c.in.Space()
-			reading = true
+		if !c.reading && !c.in.Full() {
+			c.spaces <- c.in.Space()
+			c.reading = true
 		}
 		select {
-		case e := <-ends:
-			reading = false
+		case e := <-c.ends:
+			c.reading = false
 			c.in.Filled(e.n)
 			if e.err != nil {
 				if c.held != nil {
@@ -105,8 +105,7 @@
 // handle answers a request or hands it to the core. It returns false where the connection ends.
 func (c *conn) handle(req *httpwire.Request) bool {
 	resp := httpwire.Response{Close: req.Close, NoBody: req.Method == "HEAD"}
-	class, _, _ := strings.Cut(strings.TrimPrefix(req.Path, "/"), "/")
-	index, known := c.f.opt.Classes[class]
+	index, known := c.f.opt.Classes[req.Class()]
 	switch {
 	case req.Path == "/up":
 		if resp.Status = 200; req.Method != "GET" && req.Method != "HEAD" {
@@ -137,23 +136,13 @@
 // request makes a core's request of a query.
 func (c *conn) request(req *httpwire.Request, class int) (*broker.Request, error) {
 	now := time.Now()
-	q, err := httpwire.ParseQuery(req)
+	r, err := httpwire.ParseQuery(req)
 	if err != nil {
 		return nil, err
 	}
-	r := &broker.Request{
-		ID: q.ID, Class: class, Retry: q.Retry, Arrived: now, Patience: q.Patience, Text: []byte(q.Text),
-	}
-	for i, t := range q.Targets {
-		if c.f.opt.Shards > 0 && t.Partition >= c.f.opt.Shards {
-			return nil, &httpwire.Error{Status: 400, Reason: "targets: no such partition"}
-		}
-		key, err := t.Key()
-		if err != nil {
-			return nil, &httpwire.Error{Status: 400, Reason: "targets: a route that is no number"}
-		}
-		r.Parts = slices.Grow(r.Parts, len(q.Targets)-i)
-		r.Parts = append(r.Parts, broker.Part{Shard: t.Partition, Share: t.Share, Work: t.EstUS / 1e6, Route: key})
+	r.Class, r.Arrived = class, now
+	if err := r.Check(c.f.opt.Shards); err != nil {
+		return nil, &httpwire.Error{Status: 400, Reason: err.Error()}
 	}
 	return r, nil
 }
@@ -165,13 +154,32 @@
 	if errors.As(err, &e) {
 		resp.Status = e.Status
 	}
-	if c.write(resp); c.sock != nil {
-		// What the client still sends is read for a moment: closing with bytes unread would reset the
-		// connection, and the answer could be lost with it.
-		if t, ok := c.sock.(*net.TCPConn); ok {
-			t.CloseWrite()
-			t.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
-			time.Sleep(20 * time.Millisecond)
+	c.write(resp)
+	c.linger()
+}
+
+// linger ends the sending side and gives the client a moment to take the answer: closing with bytes
+// unread would reset the connection, and the answer could be lost with it.
+func (c *conn) linger() {
+	t, ok := c.sock.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	t.CloseWrite()
+	wait := time.NewTimer(lingerFor)
+	defer wait.Stop()
+	if !c.reading {
+		c.spaces <- make([]byte, 4<<10)
+	}
+	for {
+		select {
+		case <-wait.C:
+			return
+		case e := <-c.ends:
+			if e.err != nil {
+				return
+			}
+			c.spaces <- make([]byte, 4<<10) // read and forgotten
 		}
 	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -17,6 +17,7 @@
 	writeLimit = 2 * time.Second  // a client that takes no bytes for so long is given up
 	headLimit  = 10 * time.Second // for a request to come whole, from its first byte
 	idleLimit  = 90 * time.Second
+	lingerFor  = 100 * time.Millisecond
 )
 
 // Core is what the front needs of the broker.
--- a/internal/httpwire/query.go
+++ b/internal/httpwire/query.go
@@ -3,19 +3,18 @@
 import (
 	"bytes"
 	"encoding/json"
-	"math"
+	"fmt"
 	"strconv"
 	"strings"
 	"time"
+
+	"cloverhook/internal/broker"
 )
 
-// Query is the body of a query and what its header says. It refers to nothing of the buffer.
-type Query struct {
-	ID, Class string
-	Patience  time.Duration
-	Retry     bool
-	Targets   []Target
-	Text      string
+// Body is the body of a query.
+type Body struct {
+	Targets []Target `json:"targets"`
+	Query   string   `json:"query"`
 }
 
 // Target is one part of a query.
@@ -26,80 +25,47 @@
 	Route     string  `json:"route"`
 }
 
-const (
-	maxID       = 64
-	shareSlack  = 0.05 // shares are rounded by clients
-	maxPatience = time.Hour
-)
-
-// ParseQuery reads a query's request.
-func ParseQuery(r *Request) (*Query, error) {
-	q := &Query{ID: r.Header.Get("X-Request-Id"), Class: r.Header.Get("X-Class"), Retry: r.Header.Get("X-Retry") == "1"}
-	first, _, _ := strings.Cut(strings.TrimPrefix(r.Path, "/"), "/")
-	if q.Class == "" {
-		q.Class = first
-	} else if q.Class != first {
-		return nil, malformed("X-Class is %q, but the path says %q", q.Class, first)
-	}
-	if !ValidID(q.ID) {
-		return nil, malformed("X-Request-Id: cannot use %q", q.ID)
-	}
-	var err error
-	if q.Patience, err = parseDeadline(r.Header.Get("X-Deadline")); err != nil {
-		return nil, err
-	}
-	var body struct {
-		Targets []Target `json:"targets"`
-		Query   string   `json:"query"`
-	}
-	if err := json.Unmarshal(r.Body, &body); err != nil {
-		return nil, malformed("body: %v", err)
+// Parts are the targets in the core's terms.
+func (b *Body) Parts() ([]broker.Part, error) {
+	parts := make([]broker.Part, 0, len(b.Targets))
+	for i, t := range b.Targets {
+		p := broker.Part{Shard: t.Partition, Share: t.Share, Work: t.EstUS / 1e6}
+		if t.Route != "" {
+			var err error
+			if p.Route, err = strconv.ParseUint(t.Route, 16, 64); err != nil {
+				return nil, fmt.Errorf("targets[%d].route: cannot read %q", i, t.Route)
+			}
+		}
+		parts = append(parts, p)
 	}
-	q.Targets, q.Text = body.Targets, body.Query
-	return q, CheckTargets(q.Targets)
+	return parts, nil
 }
 
-// ValidID tells whether a query's name can stand in the protocols of record servers.
-func ValidID(id string) bool {
-	return id != "" && len(id) <= maxID && strings.IndexFunc(id, func(c rune) bool { return c <= ' ' || c > '~' }) < 0
+// Class is the class that a request's path names.
+func (r *Request) Class() string {
+	class, _, _ := strings.Cut(strings.TrimPrefix(r.Path, "/"), "/")
+	return class
 }
 
-// CheckTargets checks the parts of a query, and has their shares sum to 1, as the core counts them.
-func CheckTargets(targets []Target) error {
-	if len(targets) == 0 {
-		return malformed("targets: a query has a part at least")
-	}
-	seen, sum := make(map[int]bool, len(targets)), 0.0
-	for i, t := range targets {
-		switch {
-		case t.Partition < 0 || seen[t.Partition]:
-			return malformed("targets[%d].partition: %d is negative or stands twice", i, t.Partition)
-		case math.IsNaN(t.Share) || t.Share < 0 || t.Share > 1+shareSlack:
-			return malformed("targets[%d].share: %g is outside 0 to 1", i, t.Share)
-		case math.IsNaN(t.EstUS) || t.EstUS < 0 || math.IsInf(t.EstUS, 0):
-			return malformed("targets[%d].est_us: %g is no time", i, t.EstUS)
-		}
-		if _, err := t.Key(); err != nil {
-			return malformed("targets[%d].route: cannot read %q", i, t.Route)
-		}
-		seen[t.Partition] = true
-		sum += t.Share
-	}
-	if math.Abs(sum-1) > shareSlack {
-		return malformed("targets: the shares sum to %g, not 1", sum)
+// ParseQuery reads a query's request, all but its class. What it returns refers to nothing of the buffer.
+func ParseQuery(r *Request) (*broker.Request, error) {
+	if class := r.Header.Get("X-Class"); class != "" && class != r.Class() {
+		return nil, malformed("X-Class is %q, but the path says %q", class, r.Class())
+	}
+	q := &broker.Request{ID: r.Header.Get("X-Request-Id"), Retry: r.Header.Get("X-Retry") == "1"}
+	var body Body
+	err := json.Unmarshal(r.Body, &body)
+	if err != nil {
+		return nil, malformed("body: %v", err)
 	}
-	for i := range targets {
-		targets[i].Share /= sum
+	if q.Patience, err = parseDeadline(r.Header.Get("X-Deadline")); err != nil {
+		return nil, err
 	}
-	return nil
-}
-
-// Key is the route as a number, 0 if there is none.
-func (t Target) Key() (uint64, error) {
-	if t.Route == "" {
-		return 0, nil
+	if q.Parts, err = body.Parts(); err != nil {
+		return nil, malformed("%v", err)
 	}
-	return strconv.ParseUint(t.Route, 16, 64)
+	q.Text = []byte(body.Query)
+	return q, nil
 }
 
 // parseDeadline reads a time as the platform writes it: a number, then m for milliseconds or u for
@@ -112,7 +78,7 @@
 		number, ok = strings.CutSuffix(s, "u")
 	}
 	n, err := strconv.ParseFloat(number, 64)
-	if !ok || err != nil || !(n > 0) || n*float64(unit) > float64(maxPatience) {
+	if !ok || err != nil || !(n > 0 && n < 1e12) {
 		return 0, malformed("X-Deadline: cannot read %q", s)
 	}
 	return time.Duration(n * float64(unit)), nil
