--- a/cmd/mothrouter/main.go
+++ b/cmd/mothrouter/main.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"syscall"
 	"time"
 
@@ -93,7 +94,7 @@
 		}
 		flights = flight.NewFront(flight.Options{
 			Classes: cfg.Classes, Patience: cfg.Patience(), Shards: cfg.Shards,
-			ConnsMax: partners.Connections, Streams: uint32(cfg.Streams),
+			ConnsMax: partners.Connections,
 		}, core)
 		go func() { served <- flights.Serve(l, log) }()
 	}
@@ -116,10 +117,12 @@
 	if err := listener.Close(); err != nil {
 		log.Warn("the listener did not close", "err", err)
 	}
-	clients.End(ctx)
+	var ends sync.WaitGroup
+	ends.Go(func() { clients.End(ctx) })
 	if flights != nil {
-		flights.Stop(ctx)
+		ends.Go(func() { flights.Stop(ctx) })
 	}
+	ends.Wait()
 	core.Drain(ctx)
 	return nil
 }
--- /dev/null
+++ b/cmd/mothrouter/mixed_test.go
@@ -0,0 +1,191 @@
+package main_test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"hash/fnv"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apache/arrow-go/v18/arrow/flight"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	mothflight "cloverhook/internal/flight"
+	"cloverhook/internal/frame"
+)
+
+// ledger is what all stand-in record servers of a run see together. It watches the rules.
+type ledger struct {
+	t     *testing.T
+	mu    sync.Mutex
+	parts map[string]*seenPart
+}
+
+type seenPart struct{ tries, out, ran int }
+
+// serve is one attempt at a record server: some work, and at some parts' first try a full queue.
+func (l *ledger) serve(id string) (end string) {
+	h := fnv.New32()
+	h.Write([]byte(id))
+	l.mu.Lock()
+	p := l.parts[id]
+	if p == nil {
+		p = &seenPart{}
+		l.parts[id] = p
+	}
+	p.tries++
+	p.out++
+	assert.LessOrEqual(l.t, p.out, 1, "%s has two attempts out", id)
+	assert.LessOrEqual(l.t, p.tries, 4, "%s has too many attempts", id)
+	full := p.tries == 1 && h.Sum32()%9 == 0
+	failed := p.tries == 1 && h.Sum32()%9 == 1 && !strings.HasPrefix(id, "charge-post")
+	if !full {
+		p.ran++
+		assert.False(l.t, p.ran > 1 && strings.HasPrefix(id, "charge-post"), "%s ran twice", id)
+	}
+	l.mu.Unlock()
+	time.Sleep(time.Duration(5+h.Sum32()%10) * time.Millisecond)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p.out--
+	return map[[2]bool]string{{true, false}: "full", {false, true}: "failed", {false, false}: "done"}[[2]bool{full, failed}]
+}
+
+// frames serves a listener as a record server that speaks frames.
+func (l *ledger) frames(listener net.Listener) {
+	for {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			var in frame.Reader
+			var out sync.Mutex
+			for {
+				n, err := c.Read(in.Space())
+				if err != nil {
+					return
+				}
+				in.Filled(n)
+				for {
+					m, ok, err := in.Next()
+					if err != nil || !ok {
+						break
+					}
+					id, _, _ := bytes.Cut(m.Rest, []byte{' '})
+					if name := string(id); m.Letter == 'S' {
+						go func() {
+							end := l.serve(name)
+							out.Lock()
+							defer out.Unlock()
+							c.Write(frame.Append(nil, 'R', name+" "+end+" 1 inflight=1,util=0.2\nv"))
+						}()
+					}
+				}
+			}
+		}()
+	}
+}
+
+// flight answers a part as a record server that speaks Flight.
+func (l *ledger) flight(t mothflight.PartTicket, s flight.FlightService_DoGetServer) error {
+	switch l.serve(t.ID) {
+	case "full":
+		st, err := status.New(codes.Unavailable, "full").WithDetails(&errdetails.RetryInfo{})
+		if err != nil {
+			return err
+		}
+		return st.Err()
+	case "failed":
+		return status.Error(codes.Aborted, "failed")
+	}
+	return rows(s, "v")
+}
+
+const (
+	workers    = 8
+	eachAsks   = 20
+	servesMost = time.Second // an answer that takes longer does not count
+)
+
+// run has workers ask queries one after the other, every second one by Flight if mixed, and returns the
+// share of them that was served whole and in time.
+func run(t *testing.T, mixed bool) float64 {
+	p := newPlayer(t)
+	l := &ledger{t: t, parts: map[string]*seenPart{}}
+	speaks := ""
+	for i := range 4 {
+		name := fmt.Sprint("s", i)
+		if mixed && i%2 == 1 {
+			p.flightServer(name, l.flight)
+			speaks += fmt.Sprintf("%q,", name)
+		} else {
+			go l.frames(p.listener(name))
+		}
+	}
+	c := p.startFlight(speaks, "s0", "s1", "s2", "s3")
+	var wg sync.WaitGroup
+	served := make([]int, workers)
+	for w := range workers {
+		wg.Go(func() {
+			conn, err := net.Dial("tcp", p.listen)
+			if !assert.NoError(t, err) {
+				return
+			}
+			defer conn.Close()
+			in := bufio.NewReader(conn)
+			for i := range eachAsks {
+				class := []string{"usage-lookup", "charge-post", "tariff-report"}[i%3]
+				id, parts, started := fmt.Sprintf("%s-%d-%d", class, w, i), []int{5, 1, 8}[i%3], time.Now()
+				ok := false
+				if mixed && w%2 == 1 {
+					a, err := get(soon(t), c, ticket(id, class, parts))
+					ok = err == nil && a.closing.Whole && len(a.values) == parts
+				} else {
+					ok = askHTTP(t, conn, in, id, class, parts)
+				}
+				if ok && time.Since(started) < servesMost {
+					served[w]++
+				}
+			}
+			conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+			_, err = in.ReadByte() // no query has a second answer
+			assert.ErrorContains(t, err, "i/o timeout")
+		})
+	}
+	wg.Wait()
+	sum := 0
+	for _, n := range served {
+		sum += n
+	}
+	return float64(sum) / (workers * eachAsks)
+}
+
+func askHTTP(t *testing.T, conn net.Conn, in *bufio.Reader, id, class string, parts int) bool {
+	body := ticket(id, class, parts) // its targets and query are the platform's body
+	p := &player{t: t, ins: map[string]*bufio.Reader{"a": in}}
+	conn.Write(wire("a", fmt.Sprintf("POST /%s HTTP/1.1\nX-Request-Id: %s\nX-Deadline: 3000m\nContent-Length: auto\n\n%s",
+		class, id, body)))
+	conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+	m, err := p.message("a")
+	assert.NoError(t, err, "%s has no final answer in its time", id)
+	return strings.HasPrefix(m, "HTTP/1.1 200") && strings.Contains(m, `"whole":true`) && strings.Count(m, `"value"`) == parts
+}
+
+// Both protocols together break no rule, and serve as well as HTTP alone.
+func TestMixedProtocolsServeAsHTTPAlone(t *testing.T) {
+	alone := run(t, false)
+	mixed := run(t, true)
+	t.Logf("served: HTTP alone %.3f, both protocols %.3f", alone, mixed)
+	require.Greater(t, alone, 0.9)
+	require.InDelta(t, alone, mixed, 0.02)
+}
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -18,15 +18,16 @@
 }
 
 func (s script) Handle(_ float64, events []cloverhook.Event) []cloverhook.Action {
+	woken := false
 	for _, e := range events {
 		s.events <- e
+		_, list := e.(cloverhook.List)
+		woken = woken || list
 	}
-	select {
-	case a := <-s.actions:
-		return a
-	default:
-		return nil
+	if woken && len(s.actions) > 0 {
+		return <-s.actions
 	}
+	return nil
 }
 
 // link keeps the calls that it is handed.
@@ -114,7 +115,7 @@
 	return q.ID, first, c, req
 }
 
-// do has the Decider act, woken by an event that means nothing.
+// do has the Decider act, woken by a list that changes nothing.
 func (r *rig) do(actions ...cloverhook.Action) {
 	r.actions <- actions
 	r.list(cloverhook.ListDelta)
--- a/internal/flight/front.go
+++ b/internal/flight/front.go
@@ -34,22 +34,30 @@
 	Patience []time.Duration // by class: how long a client waits that sets no deadline
 	Shards   int             // 0: not told
 	ConnsMax int             // connections held at most
-	Streams  uint32          // calls at once on a connection
 }
 
+const (
+	streamsMost = 16       // calls at once on a connection
+	callsMost   = 128      // queries at once on all of them
+	window      = 64 << 10 // bytes unread on a stream and on a connection; so set, gRPC does not widen it
+)
+
 // Front serves Flight clients on the same core as the platform's front.
 type Front struct {
 	flight.BaseFlightServer
 	opt    Options
 	core   Core
 	server *grpc.Server
+	slots  chan struct{} // of calls
 }
 
 // NewFront makes a front to core.
 func NewFront(opt Options, core Core) *Front {
-	f := &Front{opt: opt, core: core}
+	f := &Front{opt: opt, core: core, slots: make(chan struct{}, callsMost)}
 	f.server = grpc.NewServer(
-		grpc.MaxRecvMsgSize(maxMessage), grpc.MaxConcurrentStreams(max(opt.Streams, 1)),
+		grpc.MaxRecvMsgSize(maxMessage), grpc.MaxConcurrentStreams(streamsMost),
+		grpc.InitialWindowSize(window), grpc.InitialConnWindowSize(window),
+		grpc.StreamInterceptor(f.admit),
 		grpc.MaxHeaderListSize(8<<10), grpc.ConnectionTimeout(10*time.Second),
 		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: 90 * time.Second}),
 	)
@@ -70,6 +78,17 @@
 	stop()
 }
 
+// admit bounds the calls that are held, before their tickets are read.
+func (f *Front) admit(srv any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, next grpc.StreamHandler) error {
+	select {
+	case f.slots <- struct{}{}:
+		defer func() { <-f.slots }()
+		return next(srv, stream)
+	default:
+		return statusOf(broker.Result{Outcome: broker.Refused, RetryAfter: 1})
+	}
+}
+
 // request makes a core's request of a ticket.
 func (f *Front) request(ctx context.Context, text []byte) (*broker.Request, *Ticket, error) {
 	now := time.Now()
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -220,5 +220,8 @@
 	c.out = resp.Append(c.out[:0])
 	c.sock.SetWriteDeadline(time.Now().Add(writeLimit))
 	_, err := c.sock.Write(c.out)
+	if cap(c.out) > keepMost {
+		c.out = nil
+	}
 	return err == nil && !resp.Close
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -18,6 +18,7 @@
 	headLimit  = 10 * time.Second // for a request to come whole, from its first byte
 	idleLimit  = 90 * time.Second
 	lingerFor  = 100 * time.Millisecond
+	keepMost   = 16 << 10 // bytes of a connection's write buffer that are kept for the next answer
 )
 
 // Core is what the front needs of the broker.
