Retire connections that fell silent, so that nothing more may have run on them

Calls went on to be written to the connections of the machine that had dropped off the network: they stay open, so such a call may have run, and a charge-post part cannot go to the other holder. Lines at fault: Link.pick in internal/upstream took any connection with room. Now conn.cancel retires one on which nothing was heard for 0.4 s since the given-up call was written; the next call's connection does not come up, which proves that nothing ran.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -17,12 +17,17 @@
 	writeLimit = 2 * time.Second // a peer that takes no bytes for so long is given up
 )
 
+// SilentFor is how long a call may have been without any word from its connection before its end retires
+// the connection.
+const SilentFor = 400 * time.Millisecond
+
 // job is one call or probe on a connection.
 type job struct {
 	call  *broker.Call
 	probe *broker.Probe
 	id    string
 	state jobState
+	at    time.Time // when it was written
 }
 
 type jobState int
@@ -46,6 +51,7 @@
 	calls   map[string]*job
 	stale   map[string]bool // written, then cancelled, and unanswered so far
 	probes  []*job          // written and unanswered, in order
+	heard   time.Time       // when the last message came
 	wake    chan struct{}   // tells the writer that there is something, cap 1
 	idle    *time.Timer     // runs while nothing is out
 }
@@ -81,6 +87,11 @@
 func (cn *conn) cancel(j *job) {
 	delete(cn.calls, j.id)
 	if j.state == jobWriting || j.state == jobWritten {
+		// Guards against a machine that has dropped off the network: its connections stay open and silent,
+		// and what is written to them may have run. A new one does not come up, and shows that nothing ran.
+		if j.state == jobWritten && cn.heard.Before(j.at) && time.Since(j.at) > SilentFor {
+			cn.retired = true
+		}
 		cn.cancels = append(cn.cancels, j.id)
 		cn.stale[j.id] = true
 		if len(cn.stale) > staleMost {
@@ -92,9 +103,11 @@
 	cn.rest()
 }
 
+func (cn *conn) busy() bool { return len(cn.calls)+len(cn.probes)+len(cn.queue)+len(cn.cancels) > 0 }
+
 // rest starts the idle timer once nothing is out. The caller holds mu.
 func (cn *conn) rest() {
-	if len(cn.calls)+len(cn.probes)+len(cn.queue) > 0 || cn.broken != nil || cn.idle != nil {
+	if cn.busy() || cn.broken != nil || cn.idle != nil {
 		return
 	}
 	limit := time.Duration(float64(cn.l.opt.Idle) * idleShare)
@@ -104,7 +117,7 @@
 	cn.idle = time.AfterFunc(limit, func() {
 		cn.l.mu.Lock()
 		defer cn.l.mu.Unlock()
-		if len(cn.calls)+len(cn.probes)+len(cn.queue) == 0 {
+		if !cn.busy() {
 			cn.fail(errIdle)
 		}
 	})
@@ -218,7 +231,7 @@
 		n, err := cn.sock.Write(buf)
 		cn.l.mu.Lock()
 		if j != nil && j.state == jobWriting {
-			j.state = jobWritten
+			j.state, j.at = jobWritten, time.Now()
 			if cn.broken != nil || err != nil {
 				// The break came meanwhile: it may have run only if its last byte was written.
 				status := cloverhook.Reset
@@ -288,6 +301,7 @@
 
 // take books one message. The caller holds mu.
 func (cn *conn) take(m frame.Message) {
+	cn.heard = time.Now()
 	switch m.Letter {
 	case 'R':
 		j := cn.calls[string(m.Reply.ID)]
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,189 @@
+package upstream_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cloverhook"
+	"cloverhook/internal/broker"
+	"cloverhook/internal/frame"
+	"cloverhook/internal/upstream"
+)
+
+// script decides what the test says next.
+type script struct {
+	parts chan cloverhook.Part
+	ended chan cloverhook.Ended
+	next  chan []cloverhook.Action
+}
+
+func (s script) Handle(_ float64, events []cloverhook.Event) (actions []cloverhook.Action) {
+	for _, e := range events {
+		switch e := e.(type) {
+		case cloverhook.Part:
+			s.parts <- e
+		case cloverhook.Ended:
+			s.ended <- e
+		}
+	}
+	select {
+	case actions = <-s.next:
+	default:
+	}
+	return actions
+}
+
+type nobody struct{}
+
+func (nobody) Finish(broker.Result) {}
+
+// rig is a core with a scripted Decider, a link under test and one record server at a listener.
+type rig struct {
+	*testing.T
+	script
+	b    *broker.Broker
+	l    net.Listener
+	list broker.List
+}
+
+func newRig(t *testing.T, opt upstream.Options) *rig {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() { cancel(); l.Close() })
+	r := &rig{T: t, l: l, script: script{make(chan cloverhook.Part, 9), make(chan cloverhook.Ended, 9), make(chan []cloverhook.Action, 9)}}
+	set := cloverhook.Settings{Cells: 1, Reach: 1, Classes: []cloverhook.Class{{Deadline: 9, Need: 1, Floor: 1}}}
+	r.b = broker.New(broker.Options{Settings: set}, r.script, upstream.New(ctx, opt))
+	go r.b.Run(ctx)
+	r.list = broker.List{Mode: cloverhook.ListFull, Servers: []broker.ListEntry{
+		{Server: cloverhook.Server{ID: "s0"}, Addr: l.Addr().String()}}}
+	r.b.Update(r.list)
+	return r
+}
+
+// do has the Decider act.
+func (r *rig) do(a ...cloverhook.Action) {
+	r.next <- a
+	r.b.Update(r.list)
+}
+
+// ask hands over a query of one part and returns the part's id.
+func (r *rig) ask(name string) cloverhook.RequestID {
+	r.b.Take(&broker.Request{ID: name, Arrived: time.Now(), Patience: 5 * time.Second,
+		Parts: []broker.Part{{Share: 1}}, Text: []byte("x")}, nobody{})
+	return (<-r.parts).ID
+}
+
+// peer is the record server's end of a connection.
+type peer struct {
+	*testing.T
+	net.Conn
+	in frame.Reader
+}
+
+func (r *rig) accept() *peer {
+	require.NoError(r, r.l.(*net.TCPListener).SetDeadline(time.Now().Add(2*time.Second)))
+	c, err := r.l.Accept()
+	require.NoError(r, err)
+	r.Cleanup(func() { c.Close() })
+	return &peer{T: r.T, Conn: c}
+}
+
+func (p *peer) gets(letter byte, starts string) {
+	p.Helper()
+	for {
+		m, ok, err := p.in.Next()
+		require.NoError(p, err)
+		if ok {
+			require.Equal(p, string(letter), string(m.Letter))
+			require.Contains(p, string(m.Rest), starts)
+			return
+		}
+		require.NoError(p, p.SetReadDeadline(time.Now().Add(2*time.Second)))
+		n, err := p.Read(p.in.Space())
+		require.NoError(p, err)
+		p.in.Filled(n)
+	}
+}
+
+func (p *peer) sends(letter byte, rest string) {
+	_, err := p.Write(frame.Append(nil, letter, rest))
+	require.NoError(p, err)
+}
+
+func send(id cloverhook.RequestID) cloverhook.Action { return cloverhook.Send{ID: id, Server: "s0"} }
+
+var options = upstream.Options{Streams: 2, Idle: time.Minute, ConnectTimeout: 250 * time.Millisecond}
+
+func TestAnAttemptSharesNoConnectionWithACancelledOneOfItsID(t *testing.T) {
+	r := newRig(t, options)
+	id := r.ask("q")
+	r.do(send(id))
+	first := r.accept()
+	first.gets('S', "q.0 0 d=")
+	r.do(cloverhook.Cancel{ID: id})
+	first.gets('C', "q.0")
+	require.Equal(t, cloverhook.Cancelled, (<-r.ended).Status)
+	r.do(send(id))
+	second := r.accept()
+	second.gets('S', "q.0 0 d=")
+	first.sends('R', "q.0 done 1 -\nold") // late: must not end the newer attempt
+	other := r.ask("other")
+	r.do(send(other))
+	first.gets('S', "other.0") // the first connection is still of use to others
+	first.sends('R', "other.0 failed 1 inflight=3\n")
+	e := <-r.ended
+	require.Equal(t, []any{other, cloverhook.Error, 3.0}, []any{e.ID, e.Status, e.Load.InFlight})
+	second.sends('R', "q.0 done 1 -\nnew")
+	e = <-r.ended
+	require.Equal(t, []any{id, 1, cloverhook.OK}, []any{e.ID, e.Attempt, e.Status})
+}
+
+func TestConnectionsAreSharedUpToTheirStreams(t *testing.T) {
+	r := newRig(t, options)
+	r.do(send(r.ask("a")))
+	first := r.accept()
+	first.gets('S', "a.0")
+	r.do(send(r.ask("b")))
+	first.gets('S', "b.0")
+	r.do(send(r.ask("c")))
+	second := r.accept()
+	second.gets('S', "c.0")
+	require.NoError(t, second.Close())
+	require.Equal(t, cloverhook.Reset, (<-r.ended).Status) // its frame was written whole
+	first.sends('F', "no such frame")
+	require.Equal(t, cloverhook.Reset, (<-r.ended).Status)
+	require.Equal(t, cloverhook.Reset, (<-r.ended).Status)
+	require.NoError(t, r.l.Close())
+	r.do(send(r.ask("d")))
+	require.Equal(t, cloverhook.Unreachable, (<-r.ended).Status)
+}
+
+// A machine that has dropped off the network leaves its connections open and silent. One whose call got no
+// word for long is not used for more: on a new one it shows that nothing can have run.
+func TestAConnectionThatFellSilentIsRetired(t *testing.T) {
+	r := newRig(t, options)
+	id := r.ask("q")
+	r.do(send(id))
+	first := r.accept()
+	first.gets('S', "q.0")
+	time.Sleep(upstream.SilentFor + 50*time.Millisecond)
+	r.do(cloverhook.Cancel{ID: id})
+	<-r.ended
+	r.do(send(r.ask("next")))
+	r.accept().gets('S', "next.0")
+}
+
+func TestProbes(t *testing.T) {
+	r := newRig(t, options)
+	r.do(cloverhook.Probe{Server: "s0"})
+	p := r.accept()
+	p.gets('H', "")
+	p.sends('H', "done")
+	r.do(send(r.ask("q"))) // and the connection goes on
+	p.gets('S', "q.0")
+}
