Answer Expect: 100-continue, and test /up before any record server is known

A client that waits for a 100 before it sends its body waited for its time-out: the front only spoke once the body was in.

--- a/cmd/mothrouter/api_test.go
+++ b/cmd/mothrouter/api_test.go
@@ -76,6 +76,9 @@
 			require.Equal(t, a.async["channels"].(map[string]any)["hosts"].(map[string]any)["address"], u.Path)
 			require.Equal(t, "1", u.Query().Get("follow"))
 			require.Regexp(t, "^[0-9]+$", u.Query().Get("since"))
+		case sent && strings.HasPrefix(message, "~raw "):
+			asked[peer] += "\n\n" + strings.TrimPrefix(message, "~raw ")
+		case start[1] == "100": // an interim answer
 		case sent:
 			asked[peer] = message
 		default:
--- a/cmd/mothrouter/exchange_test.go
+++ b/cmd/mothrouter/exchange_test.go
@@ -121,6 +121,10 @@
 			l.Close()
 		}
 	})
+	up := "HTTP/1.1 200 OK"
+	if len(known) == 0 { // then it cannot serve yet
+		up = "HTTP/1.1 503 Service Unavailable"
+	}
 	require.Eventually(p.t, func() bool {
 		c, err := net.Dial("tcp", p.listen)
 		if err != nil {
@@ -129,7 +133,7 @@
 		defer c.Close()
 		fmt.Fprint(c, "GET /up HTTP/1.1\r\nHost: n1\r\n\r\n")
 		line, _ := textproto.NewReader(bufio.NewReader(c)).ReadLine()
-		return line == "HTTP/1.1 200 OK"
+		return line == up
 	}, patience, 10*time.Millisecond)
 }
 
@@ -171,6 +175,9 @@
 		line = strings.TrimSpace(line)
 		return fmt.Appendf(nil, "%x\r\n%s\n\r\n", len(line)+1, line)
 	}
+	if raw, ok := strings.CutPrefix(message, "~raw "); ok { // more of an earlier message
+		return []byte(raw)
+	}
 	head, body, _ := strings.Cut(message, "\n\n")
 	head = strings.ReplaceAll(head, "\n", "\r\n")
 	if strings.Contains(head, "chunked") && body != "" {
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -88,6 +88,9 @@
 				return
 			}
 			if req == nil {
+				if c.in.Expects() && !c.send([]byte("HTTP/1.1 100 Continue\r\n\r\n")) {
+					return
+				}
 				break
 			}
 			started = false
@@ -218,10 +221,16 @@
 		resp.Close = true
 	}
 	c.out = resp.Append(c.out[:0])
-	c.sock.SetWriteDeadline(time.Now().Add(writeLimit))
-	_, err := c.sock.Write(c.out)
+	sent := c.send(c.out)
 	if cap(c.out) > keepMost {
 		c.out = nil
 	}
-	return err == nil && !resp.Close
+	return sent && !resp.Close
+}
+
+// send writes bytes and tells whether all went.
+func (c *conn) send(b []byte) bool {
+	c.sock.SetWriteDeadline(time.Now().Add(writeLimit))
+	_, err := c.sock.Write(b)
+	return err == nil
 }
--- a/internal/httpwire/request.go
+++ b/internal/httpwire/request.go
@@ -22,9 +22,17 @@
 	length  int
 	chunked bool
 	chunks  chunks
+	expects bool // the client waits for a 100 before it sends the body
 	err     error
 }
 
+// Expects tells, once a request, that its client waits for a 100 (Continue) before it sends the body.
+func (d *RequestReader) Expects() bool {
+	waits := d.expects && d.req != nil && len(d.buf.unread()) == 0
+	d.expects = d.expects && !waits
+	return waits
+}
+
 // Space returns where to read the next bytes to. It ends what earlier requests refer to.
 func (d *RequestReader) Space() []byte {
 	if d.req == nil {
@@ -85,6 +93,7 @@
 	path, _, _ := strings.Cut(target, "?")
 	d.req = &Request{Method: method, Path: path, Header: h.header, Close: h.closes(version)}
 	d.from, d.bodyEnd, d.chunks = d.buf.r, d.buf.r, chunks{}
+	d.expects = version == "HTTP/1.1" && strings.EqualFold(h.header.Get("Expect"), "100-continue")
 	return nil
 }
 
