Drop idle Flight connections, so that servers that are gone leave nothing behind

Seen by reading: the Flight link kept a gRPC channel for each address that it ever called. Now one without calls is closed once it has been idle for 0.8 of the idle limit; TestIdleConnectionsAreDropped.

--- a/internal/flight/flight_test.go
+++ b/internal/flight/flight_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"google.golang.org/grpc/codes"
@@ -43,3 +44,28 @@
 		require.Equal(t, c.want, broken(c.err, c.gate).Status, "%v", c.err)
 	}
 }
+
+// A server that is gone must leave no connection behind.
+func TestIdleConnectionsAreDropped(t *testing.T) {
+	l := NewLink(t.Context(), LinkOptions{Streams: 1, Idle: 50 * time.Millisecond})
+	held := func() int {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return len(l.conns["127.0.0.1:1"])
+	}
+	first, err := l.acquire("127.0.0.1:1")
+	require.NoError(t, err)
+	second, err := l.acquire("127.0.0.1:1") // the first is full
+	require.NoError(t, err)
+	require.Equal(t, 2, held())
+	l.release("127.0.0.1:1", second)
+	require.Equal(t, 1, held())
+	l.release("127.0.0.1:1", first)
+	again, err := l.acquire("127.0.0.1:1")
+	require.NoError(t, err)
+	require.Same(t, first, again)
+	time.Sleep(80 * time.Millisecond)
+	require.Equal(t, 1, held()) // in use
+	l.release("127.0.0.1:1", first)
+	require.Eventually(t, func() bool { return held() == 0 }, 2*time.Second, 5*time.Millisecond)
+}
--- a/internal/flight/link.go
+++ b/internal/flight/link.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"slices"
 	"sync"
 	"time"
 	"unicode/utf8"
@@ -45,6 +46,7 @@
 	conn   *grpc.ClientConn
 	client flight.Client
 	calls  int
+	idle   *time.Timer // runs while there are none
 }
 
 // NewLink makes a link whose connections end with ctx.
@@ -56,6 +58,9 @@
 		defer l.mu.Unlock()
 		for _, list := range l.conns {
 			for _, ch := range list {
+				if ch.idle != nil {
+					ch.idle.Stop()
+				}
 				ch.conn.Close()
 			}
 		}
@@ -70,6 +75,10 @@
 	defer l.mu.Unlock()
 	for _, ch := range l.conns[addr] {
 		if ch.calls < l.opt.Streams {
+			if ch.idle != nil {
+				ch.idle.Stop()
+				ch.idle = nil
+			}
 			ch.calls++
 			return ch, nil
 		}
@@ -93,20 +102,33 @@
 	return ch, nil
 }
 
-// release takes a call off a connection. Of several to one server, those without calls are closed.
+// release takes a call off a connection. One without calls is closed: at once where it is not the server's
+// only one, else when it has been idle, so that servers that are gone leave nothing behind.
 func (l *Link) release(addr string, ch *channel) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if ch.calls--; ch.calls > 0 || len(l.conns[addr]) < 2 {
-		return
+	switch ch.calls--; {
+	case ch.calls > 0:
+	case len(l.conns[addr]) > 1:
+		l.drop(addr, ch)
+	default:
+		ch.idle = time.AfterFunc(l.opt.Idle*4/5, func() {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			if ch.calls == 0 {
+				l.drop(addr, ch)
+			}
+		})
 	}
-	list := l.conns[addr]
-	for i, other := range list {
-		if other == ch {
-			l.conns[addr] = append(list[:i:i], list[i+1:]...)
-			ch.conn.Close()
-		}
+}
+
+// drop closes a connection and forgets it. The caller holds mu.
+func (l *Link) drop(addr string, ch *channel) {
+	list := slices.DeleteFunc(l.conns[addr], func(other *channel) bool { return other == ch })
+	if l.conns[addr] = list; len(list) == 0 {
+		delete(l.conns, addr)
 	}
+	ch.conn.Close()
 }
 
 // Send starts a call.
