Read the configuration again on SIGHUP and move the watch of the server list

Checked: main.go notified SIGTERM and SIGINT only; the watcher had one address for life. Now internal/config reads the file again and checks it whole (a bad one: its key is logged, the old one holds), and the watcher moves: the present watch or its wait ends, the next goes to the new address from the version last heard. The list stays and no request is touched. A changed file wins over PROXY_DISCOVERY, which is that of the start. Tests: reload.txt (recorded exchange), config.TestReload; both fail without the change. Conclusion: the crash is gone.

--- a/cmd/mothrouter/api_test.go
+++ b/cmd/mothrouter/api_test.go
@@ -66,11 +66,11 @@
 		start := strings.Fields(head)
 		switch {
 		case isServer(peer):
-		case peer == "discovery" && sent:
+		case strings.HasPrefix(peer, "discovery") && sent:
 			if line := strings.TrimSpace(strings.TrimPrefix(message, "~line")); strings.HasPrefix(line, "{") {
 				a.valid(t, "asyncapi.yaml#/components/schemas/Change", line)
 			}
-		case peer == "discovery":
+		case strings.HasPrefix(peer, "discovery"):
 			u, err := url.Parse(start[1])
 			require.NoError(t, err)
 			require.Equal(t, a.async["channels"].(map[string]any)["hosts"].(map[string]any)["address"], u.Path)
--- a/cmd/mothrouter/exchange_test.go
+++ b/cmd/mothrouter/exchange_test.go
@@ -15,6 +15,7 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -59,9 +60,29 @@
 	ins    map[string]*bufio.Reader
 	listen string
 	cmd    *exec.Cmd
+	config string // path of its file
+	log    log
 	seen   func(peer string, sent bool, message string) // told of each message
 }
 
+// log is what the program writes.
+type log struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *log) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *log) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
 func newPlayer(t *testing.T) *player {
 	return &player{
 		t: t, peers: map[string]net.Listener{}, conns: map[string]net.Conn{}, ins: map[string]*bufio.Reader{},
@@ -97,22 +118,21 @@
 	require.NoError(p.t, err)
 	p.listen = hold.Addr().String()
 	hold.Close()
-	config := filepath.Join(p.t.TempDir(), "config.json")
+	p.config = filepath.Join(p.t.TempDir(), "config.json")
 	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"1","limits":{"memory_mb":192,"sockets":1024},
 		"known":{"version":41,"full":true,"servers":[%s]},"settings":%s}`, p.listen, p.listener("discovery").Addr(),
 		strings.Join(servers, ","), fmt.Sprintf(profile, idle, openCap))
-	require.NoError(p.t, os.WriteFile(config, []byte(text), 0o600))
+	require.NoError(p.t, os.WriteFile(p.config, []byte(text), 0o600))
 	p.cmd = exec.Command(program, flags...)
-	p.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+config)
-	log := &bytes.Buffer{}
-	p.cmd.Stdout, p.cmd.Stderr = log, log
+	p.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+p.config)
+	p.cmd.Stdout, p.cmd.Stderr = &p.log, &p.log
 	require.NoError(p.t, p.cmd.Start())
 	p.t.Cleanup(func() {
 		p.cmd.Process.Kill()
 		p.cmd.Wait()
-		require.NotContains(p.t, log.String(), "DATA RACE")
+		require.NotContains(p.t, p.log.String(), "DATA RACE")
 		if p.t.Failed() {
-			p.t.Log(log.String())
+			p.t.Log(p.log.String())
 		}
 		for _, c := range p.conns {
 			c.Close()
@@ -150,7 +170,7 @@
 	}
 	var c net.Conn
 	var err error
-	if host, _, _ := strings.Cut(name, "."); isServer(host) || host == "discovery" {
+	if host, _, _ := strings.Cut(name, "."); isServer(host) || strings.HasPrefix(host, "discovery") {
 		l := p.listener(host).(*net.TCPListener)
 		require.NoError(p.t, l.SetDeadline(time.Now().Add(patience)))
 		c, err = l.Accept()
@@ -251,6 +271,19 @@
 		time.Sleep(d)
 	case step == "program is told to end":
 		require.NoError(p.t, p.cmd.Process.Signal(syscall.SIGTERM))
+	case peer == "reload": // the file is replaced: with nonsense, or by one that names another discovery
+		text, err := os.ReadFile(p.config)
+		require.NoError(p.t, err)
+		now := []byte(`{"name":`)
+		if words[1] != "nonsense" {
+			now = bytes.Replace(text, []byte(p.listener("discovery").Addr().String()), []byte(p.listener(words[1]).Addr().String()), 1)
+		}
+		require.NoError(p.t, os.WriteFile(p.config, now, 0o600))
+		require.NoError(p.t, p.cmd.Process.Signal(syscall.SIGHUP))
+		if words[1] == "nonsense" {
+			require.Eventually(p.t, func() bool { return strings.Contains(p.log.String(), "PROXY_CONFIG: ") }, patience, 5*time.Millisecond)
+			require.NoError(p.t, os.WriteFile(p.config, text, 0o600))
+		}
 	case step == "program ends":
 		require.NoError(p.t, p.cmd.Wait())
 	case verb == "sends":
--- a/cmd/mothrouter/main.go
+++ b/cmd/mothrouter/main.go
@@ -45,6 +45,9 @@
 }
 
 func run(getenv func(string) string, flightFile string) error {
+	// Before all else: a broker must not end because it was told of a new file.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	cfg, err := config.Load(getenv)
 	if err != nil {
 		return err
@@ -76,6 +79,7 @@
 		Addr: cfg.Discovery, Names: cfg.Names, Since: cfg.Version, Update: core.Update, Log: log,
 	}
 	go watcher.Run(ctx)
+	go reload(hup, cfg, watcher, log)
 
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
@@ -127,6 +131,22 @@
 	return nil
 }
 
+// reload takes up the file again on each SIGHUP. A bad one changes nothing.
+func reload(hup <-chan os.Signal, cfg *config.Config, watcher *discovery.Watcher, log *slog.Logger) {
+	for range hup {
+		next, waiting, err := cfg.Reload()
+		if err != nil {
+			log.Error("the new configuration cannot be used, the old one holds", "err", err)
+			continue
+		}
+		if next.Discovery != cfg.Discovery {
+			watcher.Move(next.Discovery)
+		}
+		cfg = next
+		log.Info("configuration read again", "discovery", cfg.Discovery, "wait for a start", waiting)
+	}
+}
+
 // mixed is the link to servers of both protocols.
 func mixed(ctx context.Context, cfg *config.Config, partners *config.Flight, frames broker.Link) broker.Link {
 	speaks := map[string]bool{}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -2,6 +2,7 @@
 package config
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -35,6 +36,9 @@
 	Streams        int
 	ConnIdle       time.Duration
 	ConnectTimeout time.Duration
+
+	getenv func(string) string
+	file   file // as read
 }
 
 const (
@@ -106,6 +110,7 @@
 		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery,
 		MemoryMB: defaultMemoryMB, Sockets: defaultSockets,
 		ConnIdle: 15 * time.Second, ConnectTimeout: 250 * time.Millisecond, Streams: 1,
+		getenv: getenv, file: f,
 	}
 	for key, v := range map[string]*string{
 		"PROXY_NAME": &c.Name, "PROXY_LISTEN": &c.Listen, "PROXY_DISCOVERY": &c.Discovery,
@@ -148,6 +153,37 @@
 	return c, nil
 }
 
+// Reload reads the file again and checks it whole. In a running broker only discovery can change; what else
+// differs is named and waits for a start. An address that the file has changed wins over the environment's,
+// which is that of the start. After an error the old configuration holds.
+func (c *Config) Reload() (next *Config, waiting []string, err error) {
+	n, err := Load(c.getenv)
+	if err != nil {
+		return nil, nil, err
+	}
+	held := *c
+	if n.file.Discovery != c.file.Discovery {
+		if err := checkAddr("discovery", n.file.Discovery); err != nil {
+			return nil, nil, err
+		}
+		held.Discovery, held.file.Discovery = n.file.Discovery, n.file.Discovery
+	}
+	for _, d := range []struct {
+		key     string
+		differs bool
+	}{
+		{"name", n.Name != c.Name},
+		{"listen", n.Listen != c.Listen},
+		{"limits", n.MemoryMB != c.MemoryMB || n.Sockets != c.Sockets},
+		{"settings", !bytes.Equal(n.file.Settings, c.file.Settings)},
+	} {
+		if d.differs {
+			waiting = append(waiting, d.key)
+		}
+	}
+	return &held, waiting, nil
+}
+
 func checkAddr(key, addr string) error {
 	if addr == "" {
 		return bad(key, "is missing")
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -45,6 +45,40 @@
 	require.Equal(t, []time.Duration{2 * time.Second}, c.Patience())
 }
 
+// A file that is replaced moves discovery, though the environment named it at the start; a bad one changes
+// nothing, and its key is named.
+func TestReload(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	write := func(old, new string) {
+		require.NoError(t, os.WriteFile(path, []byte(strings.Replace(good, old, new, 1)), 0o600))
+	}
+	write("", "")
+	c, err := config.Load(func(key string) string {
+		return map[string]string{"PROXY_CONFIG": path, "PROXY_DISCOVERY": "127.0.0.1:7"}[key]
+	})
+	require.NoError(t, err)
+	for _, step := range []struct {
+		old, new, want string
+		waiting        []string
+	}{
+		{"", "", "127.0.0.1:7", nil},
+		{"127.0.0.1:8500", "127.0.0.1:8501", "127.0.0.1:8501", nil},
+		{`"sockets":512`, `"sockets":600`, "127.0.0.1:8500", []string{"limits"}},
+		{`"openCap":9`, `"openCap":8`, "127.0.0.1:8500", []string{"settings"}},
+	} {
+		write(step.old, step.new)
+		next, waiting, err := c.Reload()
+		require.NoError(t, err)
+		require.Equal(t, []any{step.want, step.waiting, 512, 9}, []any{next.Discovery, waiting, next.Sockets, next.OpenCap})
+		c = next
+	}
+	for old, new := range map[string]string{`"127.0.0.1:8500"`: `"x"`, `"deadlineS":2`: `"deadlineS":-2`, `{"name"`: ``} {
+		write(old, new)
+		_, _, err := c.Reload()
+		require.Error(t, err)
+	}
+}
+
 func TestErrorsNameTheKey(t *testing.T) {
 	for _, c := range []struct{ old, new, want string }{
 		{`"listen":"127.0.0.1:8443",`, ``, "listen: is missing"},
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"slices"
+	"sync"
 	"time"
 
 	"cloverhook"
@@ -20,7 +21,7 @@
 	silence     = 5 * time.Second // an empty line comes every 2 s: without any, the watch may be broken
 	dialLimit   = time.Second
 	backOffFrom = 100 * time.Millisecond
-	backOffMost = 3 * time.Second
+	backOffMost = time.Second // the agent stands on this machine; news count as told after seconds
 )
 
 // Names translates the names of zones and kinds to their numbers in the settings.
@@ -76,11 +77,39 @@
 
 // Watcher follows the list and hands its news to Update.
 type Watcher struct {
-	Addr   string
+	Addr   string // where the first watch goes; Move names another
 	Names  Names
 	Since  int64 // version of the list as known
 	Update func(broker.List)
 	Log    *slog.Logger
+
+	mu   sync.Mutex // guards addr and move
+	addr string
+	move context.CancelFunc // ends the present watch, or the wait for the next
+}
+
+// Move has the list followed at another address from now on, from the version last heard. The list stays.
+func (w *Watcher) Move(addr string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.addr = addr
+	if w.move != nil {
+		w.move()
+	}
+}
+
+// turn starts one watch: it tells where, and its context, which Move ends.
+func (w *Watcher) turn(ctx context.Context) (context.Context, string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.move != nil {
+		w.move()
+	}
+	if w.addr == "" {
+		w.addr = w.Addr
+	}
+	ctx, w.move = context.WithCancel(ctx)
+	return ctx, w.addr
 }
 
 // Run follows the list until ctx ends. When a watch breaks it starts another from the version last heard,
@@ -88,28 +117,32 @@
 func (w *Watcher) Run(ctx context.Context) {
 	wait := time.Duration(0)
 	for ctx.Err() == nil {
-		heard, err := w.watch(ctx)
+		turn, addr := w.turn(ctx)
+		heard, err := w.watch(turn, addr)
 		if heard {
 			wait = 0
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		w.Log.Info("the watch of the server list ended", "err", err, "since", w.Since)
+		if turn.Err() == nil {
+			w.Log.Info("the watch of the server list ended", "err", err, "since", w.Since)
+		}
 		t := time.NewTimer(wait)
 		select {
 		case <-t.C:
-		case <-ctx.Done():
+			wait = min(max(2*wait, backOffFrom), backOffMost)
+		case <-turn.Done(): // moved: the new address has not failed yet
 			t.Stop()
+			wait = 0
 		}
-		wait = min(max(2*wait, backOffFrom), backOffMost)
 	}
 }
 
 // watch follows one watch to its end and tells whether it brought anything.
-func (w *Watcher) watch(ctx context.Context) (heard bool, err error) {
+func (w *Watcher) watch(ctx context.Context, addr string) (heard bool, err error) {
 	d := net.Dialer{Timeout: dialLimit}
-	sock, err := d.DialContext(ctx, "tcp", w.Addr)
+	sock, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return false, err
 	}
@@ -117,7 +150,7 @@
 	defer context.AfterFunc(ctx, func() { sock.Close() })()
 	sock.SetDeadline(time.Now().Add(silence))
 	if _, err := fmt.Fprintf(sock, "GET /discovery/hosts?follow=1&since=%d HTTP/1.1\r\nHost: %s\r\n\r\n",
-		w.Since, w.Addr); err != nil {
+		w.Since, addr); err != nil {
 		return false, err
 	}
 	var in httpwire.LineReader
