Let silent, half-sent and idle client connections make room for clients that ask

Checked: front.go turned away each new connection once half of the descriptors were in use, while an idle one was kept for 90 s (conn.go) and a head was waited for for 10 s. Ruled out: the module (its refusals began only with the full front) and the record servers (few full, few resets before 45 s). Now a connection that waits for no answer is closed for a new one: silent and half-sent first, then the longest idle. A first request has 2.2 s to come whole, later ones as long from their first byte, then 408. Large requests together hold an eighth of the memory, a reader gives back the room of a large message, and what is forgotten of a broken request is bounded. The 503 to one connection too many says Retry-After only where the settings have it. Conclusion: the front was full of connections that nobody used.

--- a/cmd/mothrouter/exchange_test.go
+++ b/cmd/mothrouter/exchange_test.go
@@ -109,7 +109,7 @@
 "zones":["bern-1"]}`
 
 // start runs the program with the servers that it knows.
-func (p *player) start(known []string, openCap int, idle float64, flags ...string) {
+func (p *player) start(known []string, openCap, sockets int, idle float64, flags ...string) {
 	var servers []string
 	for _, name := range known {
 		servers = append(servers, p.entry(name, "active"))
@@ -119,9 +119,9 @@
 	p.listen = hold.Addr().String()
 	hold.Close()
 	p.config = filepath.Join(p.t.TempDir(), "config.json")
-	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"1","limits":{"memory_mb":192,"sockets":1024},
+	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"1","limits":{"memory_mb":192,"sockets":%d},
 		"known":{"version":41,"full":true,"servers":[%s]},"settings":%s}`, p.listen, p.listener("discovery").Addr(),
-		strings.Join(servers, ","), fmt.Sprintf(profile, idle, openCap))
+		sockets, strings.Join(servers, ","), fmt.Sprintf(profile, idle, openCap))
 	require.NoError(p.t, os.WriteFile(p.config, []byte(text), 0o600))
 	p.cmd = exec.Command(program, flags...)
 	p.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+p.config)
@@ -253,18 +253,25 @@
 	})
 	switch {
 	case peer == "known":
-		openCap, idle := 100, 15.0
+		openCap, sockets, idle := 100, 1024, 15.0
 		var names []string
 		for _, w := range words[1:] {
 			if n, ok := strings.CutPrefix(w, "cap="); ok {
 				openCap, _ = strconv.Atoi(n)
+			} else if n, ok := strings.CutPrefix(w, "sockets="); ok {
+				sockets, _ = strconv.Atoi(n)
 			} else if n, ok := strings.CutPrefix(w, "idle="); ok {
 				idle, _ = strconv.ParseFloat(n, 64)
 			} else {
 				names = append(names, w)
 			}
 		}
-		p.start(names, openCap, idle)
+		p.start(names, openCap, sockets, idle)
+	case peer == "crowd": // so many clients that connect and say nothing
+		n, _ := strconv.Atoi(words[1])
+		for i := range n {
+			p.conn(fmt.Sprintf("silent%d", i))
+		}
 	case peer == "pause":
 		d, err := time.ParseDuration(words[1])
 		require.NoError(p.t, err)
--- a/cmd/mothrouter/flight_test.go
+++ b/cmd/mothrouter/flight_test.go
@@ -114,7 +114,7 @@
 	file := filepath.Join(p.t.TempDir(), "flight.toml")
 	text := fmt.Sprintf("listen = %q\nservers = [%s]\n", addr, speaks)
 	require.NoError(p.t, os.WriteFile(file, []byte(text), 0o600))
-	p.start(known, 400, 15, "-flight", file)
+	p.start(known, 400, 1024, 15, "-flight", file)
 	conn, err := grpc.NewClient("passthrough:///"+addr, grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithInitialWindowSize(64<<10), grpc.WithInitialConnWindowSize(64<<10)) // both stay so small
 	require.NoError(p.t, err)
--- a/cmd/mothrouter/main.go
+++ b/cmd/mothrouter/main.go
@@ -28,7 +28,6 @@
 const (
 	stillAccepts = 500 * time.Millisecond // after SIGTERM: connections keep coming for up to 0.4 s
 	memoryShare  = 0.7                    // of the limit, for the Go heap
-	connsShare   = 0.5                    // of the descriptors, for the platform's clients
 )
 
 func main() {
@@ -86,7 +85,7 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	clients := front.New(front.Options{
-		Classes: cfg.Classes, Shards: cfg.Shards, ConnsMax: int(connsShare * float64(cfg.Sockets)),
+		Classes: cfg.Classes, Shards: cfg.Shards, ConnsMax: cfg.ClientConns, Buffers: cfg.Buffers, Advice: cfg.Advice(),
 	}, core, log)
 	served := make(chan error, 2)
 	go func() { served <- clients.Serve(listener) }()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -25,6 +25,10 @@
 	MemoryMB  int
 	Sockets   int
 
+	ClientConns int // client connections held at most; requests need a third of the descriptors
+	ServerConns int // connections to record servers held at most
+	Buffers     int // bytes of requests held at most
+
 	Settings cloverhook.Settings
 	Classes  map[string]int // class by name
 	Names    discovery.Names
@@ -45,6 +49,10 @@
 	defaultMemoryMB = 192
 	defaultSockets  = 1024
 	leastSockets    = 64
+
+	clientShare = 1. / 2 // of the descriptors
+	serverShare = 3. / 8 // of the descriptors; the rest is for the watch, the listener and what just closes
+	bufferShare = 1. / 8 // of the memory
 )
 
 // Patience is, by class, how long a client waits that does not say so.
@@ -55,6 +63,14 @@
 	return p
 }
 
+// Advice is when a client that finds no room should come back; 0: the settings have no such word.
+func (c *Config) Advice() float64 {
+	if c.Settings.RetryAfter {
+		return c.Settings.MaxWait
+	}
+	return 0
+}
+
 // file is PROXY_CONFIG.
 type file struct {
 	Name      string `json:"name"`
@@ -140,6 +156,8 @@
 			return nil, bad("limits.sockets", "%d is too little, at least %d", *n, leastSockets)
 		}
 	}
+	c.ClientConns, c.ServerConns = int(clientShare*float64(c.Sockets)), int(serverShare*float64(c.Sockets))
+	c.Buffers = int(bufferShare * float64(c.MemoryMB<<20))
 	if err := c.settings(f.Settings); err != nil {
 		return nil, err
 	}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"container/list"
 	"errors"
 	"net"
 	"time"
@@ -13,7 +14,7 @@
 type conn struct {
 	f       *Front
 	sock    net.Conn
-	in      httpwire.RequestReader
+	reader  httpwire.RequestReader
 	out     []byte
 	reply   chan broker.Result // cap 1: a connection has one query at a time
 	wake    chan struct{}      // the front ends
@@ -22,6 +23,13 @@
 	reading bool               // a read is out
 	held    *broker.Request    // nil: none
 	closes  bool               // the held request's client ends the connection after it
+
+	// The front's mu guards these.
+	in       *list.List // that it stands in; nil: it holds a request
+	at       *list.Element
+	since    time.Time // when it came there
+	evicted  bool      // closed to make room
+	buffered int       // bytes of requests that it holds
 }
 
 // Finish is called by the core's loop.
@@ -44,18 +52,23 @@
 	}()
 	defer close(c.spaces)
 	defer c.sock.Close()
-	idle := time.NewTimer(idleLimit)
+	idle := time.NewTimer(FirstLimit)
 	defer idle.Stop()
-	started := false // a request has begun to come
+	first, started := true, false // no request has come whole; one has begun to come
 	for {
-		if !c.reading && !c.in.Full() {
-			c.spaces <- c.in.Space()
+		if !c.reading && !c.reader.Full() {
+			space := c.reader.Space()
+			if !c.f.buffer(c, c.holds()) && c.held == nil {
+				c.refuse(errNoRoom)
+				return
+			}
+			c.spaces <- space
 			c.reading = true
 		}
 		select {
 		case e := <-c.ends:
 			c.reading = false
-			c.in.Filled(e.n)
+			c.reader.Filled(e.n)
 			if e.err != nil {
 				if c.held != nil {
 					c.f.core.Leave(c.held)
@@ -63,8 +76,9 @@
 				return
 			}
 			if !started && c.held == nil {
-				started = true
-				idle.Reset(headLimit)
+				if started = true; !first {
+					idle.Reset(wholeLimit)
+				}
 			}
 		case r := <-c.reply:
 			ok := c.write(result(r, c.closes))
@@ -72,32 +86,40 @@
 			if !ok {
 				return
 			}
+			c.f.buffer(c, c.holds())
+			c.f.rest(c)
 			started = false
 			idle.Reset(idleLimit)
 		case <-idle.C:
-			if c.held == nil {
-				return
+			if c.held != nil {
+				continue
 			}
-			continue
+			if started {
+				c.refuse(errTooSlow)
+			}
+			return
 		case <-c.wake:
 		}
 		for c.held == nil {
-			req, err := c.in.Next()
+			req, err := c.reader.Next()
 			if err != nil {
 				c.refuse(err)
 				return
 			}
 			if req == nil {
-				if c.in.Expects() && !c.send([]byte("HTTP/1.1 100 Continue\r\n\r\n")) {
+				if c.reader.Expects() && !c.send([]byte("HTTP/1.1 100 Continue\r\n\r\n")) {
 					return
 				}
 				break
 			}
-			started = false
+			first, started = false, false
 			idle.Reset(idleLimit)
-			if !c.handle(req) {
+			if !c.f.hold(c) || !c.handle(req) {
 				return
 			}
+			if c.held == nil {
+				c.f.rest(c)
+			}
 		}
 		if _, ending := c.f.state(); ending && c.held == nil && !started {
 			return
@@ -105,6 +127,20 @@
 	}
 }
 
+// holds is how many bytes of requests the connection holds, beside what each may.
+func (c *conn) holds() int {
+	n := c.reader.Size()
+	if c.held != nil {
+		n += len(c.held.Text)
+	}
+	return max(n-keepMost, 0)
+}
+
+var (
+	errTooSlow = &httpwire.Error{Status: 408, Reason: "the request did not come whole in time"}
+	errNoRoom  = &httpwire.Error{Status: 503, Reason: "no room for a request of this size now"}
+)
+
 // handle answers a request or hands it to the core. It returns false where the connection ends.
 func (c *conn) handle(req *httpwire.Request) bool {
 	resp := httpwire.Response{Close: req.Close, NoBody: req.Method == "HEAD"}
@@ -157,6 +193,9 @@
 	if errors.As(err, &e) {
 		resp.Status = e.Status
 	}
+	if resp.Status == 503 {
+		resp.RetryAfter = c.f.opt.Advice
+	}
 	c.write(resp)
 	c.linger()
 }
@@ -171,18 +210,20 @@
 	t.CloseWrite()
 	wait := time.NewTimer(lingerFor)
 	defer wait.Stop()
-	if !c.reading {
-		c.spaces <- make([]byte, 4<<10)
-	}
-	for {
+	trash := make([]byte, keepMost) // read and forgotten
+	for left := lingerMost; left > 0; {
+		if !c.reading {
+			c.spaces <- trash
+			c.reading = true
+		}
 		select {
 		case <-wait.C:
 			return
 		case e := <-c.ends:
-			if e.err != nil {
+			if c.reading = false; e.err != nil {
 				return
 			}
-			c.spaces <- make([]byte, 4<<10) // read and forgotten
+			left -= e.n
 		}
 	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -2,6 +2,7 @@
 package front
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"log/slog"
@@ -14,11 +15,18 @@
 )
 
 const (
-	writeLimit = 2 * time.Second  // a client that takes no bytes for so long is given up
-	headLimit  = 10 * time.Second // for a request to come whole, from its first byte
-	idleLimit  = 90 * time.Second
+	writeLimit = 2 * time.Second // a client that takes no bytes for so long is given up
+	// FirstLimit is for a connection's first request to come whole, from the start: silent and half-sent
+	// ones hold descriptors that usual clients need.
+	FirstLimit = 2200 * time.Millisecond
+	wholeLimit = 2200 * time.Millisecond // for a later request to come whole, from its first byte
+	idleLimit  = 30 * time.Second        // between requests, while there is room
+	crowdLimit = 2 * time.Second         // and while more than half of the connections are in use
+	freshGrace = 250 * time.Millisecond  // a client that has just connected is about to speak
+	roomWait   = 100 * time.Millisecond  // for a closed connection to be gone
 	lingerFor  = 100 * time.Millisecond
-	keepMost   = 16 << 10 // bytes of a connection's write buffer that are kept for the next answer
+	lingerMost = 256 << 10 // bytes taken and forgotten meanwhile
+	keepMost   = 16 << 10  // bytes of a connection's write buffer that are kept for the next answer
 )
 
 // Core is what the front needs of the broker.
@@ -33,6 +41,8 @@
 	Classes  map[string]int // class by name
 	Shards   int            // 0: not told
 	ConnsMax int            // client connections held at most
+	Buffers  int            // bytes of requests held at most, beside a few KiB for each connection
+	Advice   float64        // seconds after which a client that finds no room should come back; 0: not said
 }
 
 // Front serves client connections.
@@ -47,6 +57,9 @@
 	closing bool // answers say Connection: close
 	ending  bool // connections end as soon as nothing is held
 	conns   map[*conn]struct{}
+	fresh   list.List // of conns that have never sent a whole request, by when they came
+	kept    list.List // of conns between requests, by when they had their last answer
+	buffers int       // bytes of requests held
 }
 
 // New makes a front to core.
@@ -69,18 +82,17 @@
 			time.Sleep(10 * time.Millisecond) // out of descriptors: some will come free
 			continue
 		}
-		select {
-		case f.slots <- struct{}{}:
-		default:
-			// Guards the descriptors: with too many connections, one more is told so and closed.
+		if !f.room() {
+			// Guards the descriptors: with too many requests, one more is told so and closed.
 			sock.SetWriteDeadline(time.Now().Add(10 * time.Millisecond))
-			sock.Write((&httpwire.Response{Status: 503, RetryAfter: 1, Close: true}).Append(nil))
+			sock.Write((&httpwire.Response{Status: 503, RetryAfter: f.opt.Advice, Close: true}).Append(nil))
 			sock.Close()
 			continue
 		}
 		c := &conn{f: f, sock: sock, reply: make(chan broker.Result, 1), wake: make(chan struct{}, 1)}
 		f.mu.Lock()
 		f.conns[c] = struct{}{}
+		f.queue(c, &f.fresh)
 		f.mu.Unlock()
 		f.wg.Add(1)
 		go func() {
@@ -88,12 +100,93 @@
 			c.serve()
 			f.mu.Lock()
 			delete(f.conns, c)
+			f.queue(c, nil)
+			f.buffers -= c.buffered
 			f.mu.Unlock()
 			<-f.slots
 		}()
 	}
 }
 
+// room takes a slot for one more connection. It guards usual clients against those that connect and say
+// nothing, send half a request or hold their connection for good: such a connection, which waits for no
+// answer, is closed where there is no other slot. Only requests that are held can fill the front.
+func (f *Front) room() bool {
+	crowded := len(f.slots) >= cap(f.slots)/2
+	select {
+	case f.slots <- struct{}{}:
+		if crowded {
+			f.evict(&f.kept, crowdLimit)
+		}
+		return true
+	default:
+	}
+	if !f.evict(&f.fresh, freshGrace) && !f.evict(&f.kept, 0) && !f.evict(&f.fresh, 0) {
+		return false
+	}
+	wait := time.NewTimer(roomWait)
+	defer wait.Stop()
+	select {
+	case f.slots <- struct{}{}:
+		return true
+	case <-wait.C:
+		return false
+	}
+}
+
+// evict closes the connection that has been longest in a list, if it has been there for so long.
+func (f *Front) evict(l *list.List, least time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	first := l.Front()
+	if first == nil || time.Since(first.Value.(*conn).since) < least {
+		return false
+	}
+	c := first.Value.(*conn)
+	f.queue(c, nil)
+	c.evicted = true
+	c.sock.Close()
+	return true
+}
+
+// queue moves a connection to the end of a list, or, with nil, out of its own. The caller holds mu.
+func (f *Front) queue(c *conn, l *list.List) {
+	if c.in != nil {
+		c.in.Remove(c.at)
+	}
+	if c.in = l; l != nil {
+		c.since, c.at = time.Now(), l.PushBack(c)
+	}
+}
+
+// rest puts a connection among those between requests.
+func (f *Front) rest(c *conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !c.evicted {
+		f.queue(c, &f.kept)
+	}
+}
+
+// hold takes a connection off the lists, since its request has come. It returns false if it was closed.
+func (f *Front) hold(c *conn) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.queue(c, nil)
+	return !c.evicted
+}
+
+// buffer books what a connection holds of requests and tells whether it may. It guards the memory against
+// many large requests at once: each alone is within bounds.
+func (f *Front) buffer(c *conn, n int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	grows := n > c.buffered
+	f.buffers += n - c.buffered
+	c.buffered = n
+	return !grows || f.buffers <= f.opt.Buffers
+}
+
 // Closing has answers say from now on that the connection closes.
 func (f *Front) Closing() {
 	f.mu.Lock()
--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -17,7 +17,8 @@
 	MaxBody  = 64 << 10
 	maxHead  = 8 << 10
 	readSize = 4 << 10
-	maxChunk = 64 // longest chunk-size line
+	keepMost = 16 << 10 // room that is kept for the next message
+	maxChunk = 64       // longest chunk-size line
 )
 
 // Error is input that breaks the protocol, with the status that answers it.
@@ -42,6 +43,10 @@
 
 // space makes room for more, keeping what starts at from.
 func (b *buffer) space(from *int) []byte {
+	if b.r == b.w && *from == b.w && len(b.b) > keepMost {
+		// Guards the memory: a connection that once brought a large message must not keep its room for good.
+		*b, *from = buffer{}, 0
+	}
 	if n := *from; n > 0 && (b.w == n || len(b.b)-b.w < readSize/2) {
 		copy(b.b, b.b[n:b.w])
 		b.r, b.w, *from = b.r-n, b.w-n, 0
--- a/internal/httpwire/query.go
+++ b/internal/httpwire/query.go
@@ -97,7 +97,8 @@
 }
 
 var reasons = map[int]string{
-	200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 409: "Conflict",
+	200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+	408: "Request Timeout", 409: "Conflict",
 	413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
 	501: "Not Implemented", 503: "Service Unavailable", 504: "Gateway Timeout",
 	505: "HTTP Version Not Supported",
--- a/internal/httpwire/request.go
+++ b/internal/httpwire/request.go
@@ -51,6 +51,9 @@
 // Filled tells that n more bytes stand at the start of what Space returned.
 func (d *RequestReader) Filled(n int) { d.buf.w += n }
 
+// Size is how much room the reader holds.
+func (d *RequestReader) Size() int { return len(d.buf.b) }
+
 // Full tells that so much is waiting that no more should be read before Next has taken it.
 func (d *RequestReader) Full() bool { return len(d.buf.unread()) > maxHead+MaxBody }
 
