End a connection at its first spoilt answer; part unsafe calls; bear odd reports and noise

Checked with a probe that logged every frame that is not a plain good answer: noise, absurd lengths, ends of '', '?' and '0', an unknown letter, ids never asked, second copies, reports of 'nan', '=,=' and '%%%'. Ruled out: values that differ in a frame that reads well (none seen) and frames that never end (none seen; guarded all the same). At fault: frame.parseReply failed a good value for its report; conn.take skipped unknown letters and ids, so that the call waited out its time on a connection that was of no more use; each end of a connection failed all parts on it, charge-post too; a part's later attempt could meet the second copy of an earlier answer. Conclusion: what is left is what peers spoil of parts that must not be repeated.

--- a/cmd/mothrouter/main.go
+++ b/cmd/mothrouter/main.go
@@ -61,7 +61,7 @@
 	defer cancel()
 
 	var link broker.Link = upstream.New(ctx, upstream.Options{
-		Streams: cfg.Streams, Idle: cfg.ConnIdle, ConnectTimeout: cfg.ConnectTimeout,
+		Streams: cfg.Streams, Conns: cfg.ServerConns, Idle: cfg.ConnIdle, ConnectTimeout: cfg.ConnectTimeout,
 	})
 	var partners *config.Flight
 	if flightFile != "" {
--- a/internal/flight/link.go
+++ b/internal/flight/link.go
@@ -246,8 +246,8 @@
 			}
 		}
 		if md := r.LatestAppMetadata(); len(md) > 0 {
-			if load, err = frame.ParseLoad(md); err != nil {
-				return nil, load, err
+			if report, err := frame.ParseLoad(md); err == nil { // one that cannot be read spoils no value
+				load = report
 			}
 		}
 	}
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -19,6 +19,8 @@
 	MaxFrame   = 64<<10 + 1024
 	headerSize = 4
 	readSize   = 4 << 10
+	keepMost   = 16 << 10 // room that is kept for the next frame
+	maxLine    = 512      // of an R: an id, an end, a score and a report
 )
 
 // Message is one frame from a record server.
@@ -49,6 +51,9 @@
 		d.w = copy(d.b, d.b[d.r:d.w])
 		d.r = 0
 	}
+	if d.w == 0 && len(d.b) > keepMost {
+		d.b = nil // a connection that once brought a large value must not keep its room for good
+	}
 	if len(d.b)-d.w < readSize/2 {
 		grown := make([]byte, max(readSize, 2*len(d.b)))
 		copy(grown, d.b[:d.w])
@@ -60,6 +65,9 @@
 // Filled tells that n more bytes stand at the start of what Space returned.
 func (d *Reader) Filled(n int) { d.w += n }
 
+// Pending tells that a frame has begun to come and is not whole.
+func (d *Reader) Pending() bool { return d.w > d.r }
+
 // Next returns the next message; ok is false where more bytes must come first. After an error the
 // connection cannot be read on.
 func (d *Reader) Next() (m Message, ok bool, err error) {
@@ -75,6 +83,13 @@
 		d.err = fmt.Errorf("a frame of %d bytes", n)
 		return m, false, d.err
 	}
+	// Guards against noise that reads as a length: what follows would be taken for the rest of a frame, and
+	// the good answers behind it with it. So no more is waited for than must be.
+	if len(p) > headerSize {
+		if d.err = plausible(p[headerSize:], int(n)); d.err != nil {
+			return m, false, d.err
+		}
+	}
 	if len(p) < headerSize+int(n) {
 		return m, false, nil
 	}
@@ -86,6 +101,20 @@
 	return m, d.err == nil, d.err
 }
 
+// plausible tells what is wrong with the bytes so far of a frame of n bytes.
+func plausible(p []byte, n int) error {
+	switch p[0] {
+	case 'S', 'C', 'H', 'M', 'F':
+	case 'R':
+		if head := p[:min(len(p), n, maxLine)]; len(head) == maxLine && bytes.IndexByte(head, '\n') < 0 {
+			return errors.New("an R frame whose line does not end")
+		}
+	default:
+		return fmt.Errorf("a frame of the letter %q", p[0])
+	}
+	return nil
+}
+
 var ends = map[string]cloverhook.Status{
 	"done": cloverhook.OK, "failed": cloverhook.Error, "full": cloverhook.Overloaded,
 }
@@ -103,9 +132,12 @@
 	if r.Status, ok = ends[string(end)]; !ok {
 		return r, fmt.Errorf("an R frame that ends with %q", end)
 	}
-	r.Load, err = ParseLoad(report)
+	// The value is good whatever the report: one that cannot be read tells nothing and spoils nothing.
+	if r.Load, err = ParseLoad(report); err != nil {
+		r.Load = cloverhook.NoLoad
+	}
 	r.Value = value
-	return r, err
+	return r, nil
 }
 
 // ParseLoad reads a load report: name=value pairs set apart by commas, or "-". Unknown names are ignored.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
+	"os"
 	"time"
 	"unicode/utf8"
 
@@ -12,9 +14,11 @@
 )
 
 const (
-	idleShare  = 0.8             // of the servers' idle limit: no call is written to a connection they close
-	staleMost  = 1024            // ids of cancelled calls kept; a connection with more is retired
-	writeLimit = 2 * time.Second // a peer that takes no bytes for so long is given up
+	idleShare  = 0.8                    // of the servers' idle limit: no call is written to a connection they close
+	doneMost   = 64                     // ids of the latest answered calls kept; a second copy follows the first directly
+	staleMost  = 1024                   // ids of cancelled calls kept; a connection with more is retired
+	wholeLimit = 400 * time.Millisecond // for a frame to come whole: what is not may be noise
+	writeLimit = 2 * time.Second        // a peer that takes no bytes for so long is given up
 )
 
 // SilentFor is how long a call may have been without any word from its connection before its end retires
@@ -43,6 +47,7 @@
 type conn struct {
 	l       *Link
 	addr    string
+	unsafe  bool     // carries parts that must not run twice
 	sock    net.Conn // nil until it is up
 	retired bool     // takes nothing new
 	broken  error    // why it ended
@@ -50,6 +55,8 @@
 	cancels []string // ids for which a C is to be written
 	calls   map[string]*job
 	stale   map[string]bool // written, then cancelled, and unanswered so far
+	done    map[string]bool // answered lately
+	doneIDs []string        // the same, in order
 	probes  []*job          // written and unanswered, in order
 	heard   time.Time       // when the last message came
 	wake    chan struct{}   // tells the writer that there is something, cap 1
@@ -58,12 +65,25 @@
 
 func partID(c *broker.Call) string { return frame.PartID(c.Query, c.Shard) }
 
-func newConn(l *Link, addr string) *conn {
+func newConn(l *Link, addr string, unsafe bool) *conn {
 	return &conn{
-		l: l, addr: addr, calls: map[string]*job{}, stale: map[string]bool{}, wake: make(chan struct{}, 1),
+		l: l, addr: addr, unsafe: unsafe, calls: map[string]*job{}, stale: map[string]bool{},
+		done: map[string]bool{}, wake: make(chan struct{}, 1),
 	}
 }
 
+// had tells that an answer on this connection might be one to an earlier attempt of the id.
+func (cn *conn) had(id string) bool { return cn.calls[id] != nil || cn.stale[id] || cn.done[id] }
+
+// answered remembers that a call of the id has had its answer. The caller holds mu.
+func (cn *conn) answered(id string) {
+	if len(cn.doneIDs) == doneMost {
+		delete(cn.done, cn.doneIDs[0])
+		cn.doneIDs = cn.doneIDs[1:]
+	}
+	cn.done[id], cn.doneIDs = true, append(cn.doneIDs, id)
+}
+
 func (cn *conn) enqueue(j *job) {
 	if cn.idle != nil {
 		cn.idle.Stop()
@@ -126,6 +146,7 @@
 var (
 	errIdle    = errors.New("the connection was idle")
 	errRefused = errors.New("the server could not use a frame")
+	errSpoilt  = errors.New("the server sent what cannot be read")
 	errMoot    = errors.New("nobody waits for the connection any more")
 )
 
@@ -169,20 +190,34 @@
 		cn.sock.Close()
 	}
 	for _, j := range cn.queue {
+		if j.state == jobQueued && errors.Is(err, errSpoilt) { // the server lives, and has not heard of it
+			delete(cn.calls, j.id)
+			cn.l.enqueue(cn.addr, j)
+			continue
+		}
 		cn.end(j, cloverhook.Unreachable)
 	}
 	for _, j := range cn.calls {
 		if j.state == jobWritten {
-			cn.end(j, cloverhook.Reset)
+			cn.end(j, cn.lost())
 		}
 	}
 	for _, j := range cn.probes {
-		cn.end(j, cloverhook.Reset)
+		cn.end(j, cn.lost())
 	}
 	cn.queue, cn.probes = nil, nil
 	cn.signal()
 }
 
+// lost is how a call ended that was out when the connection did. A server whose answer was spoilt lives: that
+// it is not cut off matters to the decisions. Either way the call may have run.
+func (cn *conn) lost() cloverhook.Status {
+	if errors.Is(cn.broken, errSpoilt) {
+		return cloverhook.Error
+	}
+	return cloverhook.Reset
+}
+
 // end tells how a job ended that got no answer. The caller holds mu.
 func (cn *conn) end(j *job, status cloverhook.Status) {
 	if j.state == jobOver {
@@ -234,7 +269,7 @@
 			j.state, j.at = jobWritten, time.Now()
 			if cn.broken != nil || err != nil {
 				// The break came meanwhile: it may have run only if its last byte was written.
-				status := cloverhook.Reset
+				status := cn.lost()
 				if n < len(buf) {
 					status = cloverhook.Unreachable
 				}
@@ -277,6 +312,9 @@
 	var in frame.Reader
 	for {
 		n, err := cn.sock.Read(in.Space())
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return fmt.Errorf("%w: a frame that does not end", errSpoilt)
+		}
 		if err != nil {
 			return err
 		}
@@ -284,7 +322,7 @@
 		for {
 			m, ok, err := in.Next()
 			if err != nil {
-				return err
+				return fmt.Errorf("%w: %v", errSpoilt, err)
 			}
 			if !ok {
 				break
@@ -293,34 +331,58 @@
 				return errRefused
 			}
 			cn.l.mu.Lock()
-			cn.take(m)
+			err = cn.take(m)
 			cn.l.mu.Unlock()
+			if err != nil {
+				return err
+			}
+		}
+		// Guards the calls that come next: with the rest of a frame behind an answer, theirs would be taken
+		// for more of it.
+		var limit time.Time
+		if in.Pending() {
+			cn.l.mu.Lock()
+			waited := len(cn.calls)+len(cn.probes)+len(cn.stale) > 0
+			cn.l.mu.Unlock()
+			if !waited {
+				return fmt.Errorf("%w: more than was asked for", errSpoilt)
+			}
+			limit = time.Now().Add(wholeLimit)
 		}
+		cn.sock.SetReadDeadline(limit)
 	}
 }
 
 // take books one message. The caller holds mu.
-func (cn *conn) take(m frame.Message) {
+func (cn *conn) take(m frame.Message) error {
 	cn.heard = time.Now()
 	switch m.Letter {
 	case 'R':
-		j := cn.calls[string(m.Reply.ID)]
+		id := string(m.Reply.ID)
+		j := cn.calls[id]
 		if j == nil || j.state == jobQueued {
-			delete(cn.stale, string(m.Reply.ID)) // the late answer to a call that was cancelled
+			if cn.stale[id] { // the late answer to a call that was cancelled
+				delete(cn.stale, id)
+				cn.answered(id)
+			} else if !cn.done[id] { // but a second copy does no harm
+				return fmt.Errorf("%w: an answer to what was never asked here", errSpoilt)
+			}
 			break
 		}
-		delete(cn.calls, j.id)
-		j.state = jobOver
 		r := broker.Reply{Status: m.Reply.Status, Load: m.Reply.Load}
-		if r.Status == cloverhook.OK && utf8.Valid(m.Reply.Value) {
+		if r.Status == cloverhook.OK && !utf8.Valid(m.Reply.Value) {
+			return fmt.Errorf("%w: a value that no answer can carry", errSpoilt)
+		}
+		delete(cn.calls, id)
+		cn.answered(id)
+		j.state = jobOver
+		if r.Status == cloverhook.OK {
 			r.Value = append([]byte{}, m.Reply.Value...) // it outlives the buffer
-		} else if r.Status == cloverhook.OK {
-			r.Status = cloverhook.Error // no answer could carry it
 		}
 		j.call.Done(r)
 	case 'H', 'M':
 		if len(cn.probes) == 0 {
-			break
+			return fmt.Errorf("%w: an answer to no probe", errSpoilt)
 		}
 		j := cn.probes[0]
 		cn.probes = cn.probes[1:]
@@ -332,6 +394,9 @@
 			r.Load = load
 		}
 		j.probe.Done(r)
+	default:
+		return fmt.Errorf("%w: a frame of the letter %q", errSpoilt, m.Letter)
 	}
 	cn.rest()
+	return nil
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -14,6 +14,7 @@
 // Options are what the deployment fixes.
 type Options struct {
 	Streams        int           // calls that one connection carries at once
+	Conns          int           // connections held at most; 0: no bound
 	Idle           time.Duration // record servers close connections idle for so long
 	ConnectTimeout time.Duration
 }
@@ -24,6 +25,7 @@
 	ctx   context.Context
 	mu    sync.Mutex // guards everything below, and the conns' fields that say so
 	conns map[string][]*conn
+	held  int // conns in all
 }
 
 // New makes a link whose connections end with ctx.
@@ -36,14 +38,14 @@
 func (l *Link) Send(c *broker.Call) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.pick(c.Addr, partID(c)).enqueue(&job{call: c, id: partID(c)})
+	l.enqueue(c.Addr, &job{call: c, id: partID(c)})
 }
 
 // Probe asks a server how it is, on a connection like a call's.
 func (l *Link) Probe(p *broker.Probe) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.pick(p.Addr, "").enqueue(&job{probe: p})
+	l.enqueue(p.Addr, &job{probe: p})
 }
 
 // Cancel takes a call off its connection. If its frame may have been written, the server is told.
@@ -59,16 +61,38 @@
 	}
 }
 
-// pick returns the connection for a call. A part's id repeats with each attempt: an attempt never shares a
-// connection with an earlier one whose answer may still come, so that an R names one attempt only.
-func (l *Link) pick(addr, id string) *conn {
+// enqueue puts a job on a connection. The caller holds mu.
+func (l *Link) enqueue(addr string, j *job) {
+	if cn := l.pick(addr, j); cn != nil {
+		cn.enqueue(j)
+		return
+	}
+	// No descriptor is left for it, so nothing can have run.
+	if j.probe != nil {
+		j.probe.Done(unsent(cloverhook.Unreachable))
+	} else {
+		j.call.Done(unsent(cloverhook.Unreachable))
+	}
+}
+
+// pick returns the connection for a job; nil: none may be opened. A part's id repeats with each attempt: an
+// attempt never shares a connection with an earlier one whose answer may still come, so that an R names one
+// attempt only. Parts that must not run twice go by connections of their own: an answer that is spoilt
+// makes its connection useless for all that is out on it, and those could not be sent again.
+func (l *Link) pick(addr string, j *job) *conn {
+	full := l.opt.Conns > 0 && l.held >= l.opt.Conns
+	unsafe := j.call != nil && j.call.Unsafe
 	for _, cn := range l.conns[addr] {
-		if !cn.retired && len(cn.calls) < l.opt.Streams && !cn.stale[id] && cn.calls[id] == nil {
+		if !cn.retired && len(cn.calls) < l.opt.Streams && (cn.unsafe == unsafe || full) && !cn.had(j.id) {
 			return cn
 		}
 	}
-	cn := newConn(l, addr)
+	if full {
+		return nil
+	}
+	cn := newConn(l, addr, unsafe)
 	l.conns[addr] = append(l.conns[addr], cn)
+	l.held++
 	go cn.run()
 	return cn
 }
@@ -78,6 +102,7 @@
 	list := l.conns[cn.addr]
 	for i, other := range list {
 		if other == cn {
+			l.held--
 			list = append(list[:i:i], list[i+1:]...)
 			break
 		}
