--- a/policy.go
+++ b/policy.go
@@ -30,7 +30,6 @@
 // server is what this mixer knows of one server.
 type server struct {
 	Server
-	listed          bool
 	load            Load
 	heardAt         float64 // when load came; 0: never
 	answeredAt      float64 // its latest success
@@ -111,22 +110,20 @@
 	wake, armed        float64   // earliest wish of this batch, earliest timer out
 	turn               int
 
-	latency     []ring    // latest latencies by class
-	waryUntil   []float64 // by class: until then one part of a query goes ahead of the others
-	leftAges    ring      // ages of the latest queries whose clients left
-	leaving     float64   // averaged share of queries whose clients leave
-	taken       []float64 // times of queries and parts taken, for the budget
-	extra       []float64 // times of further attempts, for the budget
-	rate        float64   // decayed count of parts answered
-	meanFitness float64   // what an unreported server counts as
-	fleetBad    float64   // the fleet's median share of failed attempts
-	warm        float64   // warm servers, at least a third of all
-	memory      float64   // seconds in which a server's own pace is half forgotten
-	rateAt      float64
-	worthAsked  float64 // of all queries so far, and the parts that they needed
-	partsAsked  float64
-	pace        float64 // averaged latency of a part over the crowd it met
-	peak        float64 // slowly decaying peak of parts answered a second by a warm server
+	latency                []ring    // latest latencies by class
+	waryUntil              []float64 // by class: until then one part of a query goes ahead of the others
+	leftAges               ring      // ages of the latest queries whose clients left
+	leaving                float64   // averaged share of queries whose clients leave
+	taken                  []float64 // times of queries and parts taken, for the budget
+	extra                  []float64 // times of further attempts, for the budget
+	rate, rateAt           float64   // decayed count of parts answered, and when it was so
+	meanFitness            float64   // what an unreported server counts as
+	fleetBad               float64   // the fleet's median share of failed attempts
+	warm                   float64   // warm servers, at least a third of all
+	memory                 float64   // seconds in which a server's own pace is half forgotten
+	worthAsked, partsAsked float64   // of all queries so far, and the parts that they needed
+	pace                   float64   // averaged latency of a part over the crowd it met
+	peak                   float64   // slowly decaying peak of parts answered a second by a warm server
 }
 
 // New returns the decisions of one mixer. Equal settings, seeds and events give equal actions.
@@ -185,7 +182,7 @@
 
 func (p *Policy) do(a Action)      { p.out = append(p.out, a) }
 func (p *Policy) wakeAt(t float64) { p.wake = math.Min(p.wake, t) }
-func (s *server) ready() bool      { return s.listed && s.State == Ready }
+func (s *server) ready() bool      { return s.State == Ready }
 func (p *Policy) lead() float64    { return answerLead * math.Max(p.set.Tick, 0.001) }
 
 // ---- the server list ----
@@ -204,7 +201,7 @@
 	}
 	if l.Mode != ListDelta {
 		for _, s := range p.servers {
-			s.listed = false
+			s.State = Gone
 		}
 	}
 	for _, e := range l.Servers {
@@ -223,14 +220,20 @@
 			s.coldSince, s.load, s.heardAt, s.fitness = e.Started, NoLoad, 0, 0
 			s.badShare, s.ghosts = 0, nil
 		}
-		s.Server, s.listed = e, e.State != Gone
+		s.Server = e
 	}
 	p.byCell = make([][]*server, max(p.set.Cells, 1))
-	for _, s := range p.servers {
-		if s.listed && s.Cell >= 0 && s.Cell < len(p.byCell) {
+	// Servers that are gone are forgotten once nothing is out there: where machines are replaced by others of
+	// new ids, they would count as a fleet that is mostly down.
+	p.servers = slices.DeleteFunc(p.servers, func(s *server) bool {
+		if s.State != Gone && s.Cell >= 0 && s.Cell < len(p.byCell) {
 			p.byCell[s.Cell] = append(p.byCell[s.Cell], s)
 		}
-	}
+		if s.State == Gone && s.own == 0 {
+			delete(p.byID, s.ID)
+		}
+		return s.State == Gone && s.own == 0
+	})
 }
 
 // holders lists the servers that hold a shard, in the order of the list.
@@ -254,9 +257,8 @@
 	}
 }
 
-// inquire probes, while attempts are often cut off, the server of which news is oldest: one probe a part at
-// most, so that its price is bounded. A mixer of many meets a server too rarely to learn by its own parts
-// which ones are cut off from it. It should also find servers that are back.
+// inquire probes, while attempts are often cut off, the server of which news is oldest, one a part at most:
+// a mixer of many meets one too rarely to learn by its own parts which are cut off, and which are back.
 func (p *Policy) inquire() {
 	if !p.set.MayProbe || p.cut < inquireAbove {
 		return
@@ -329,11 +331,10 @@
 
 // queueOf is the reported queue or parts in flight, else this mixer's own parts in flight.
 func (s *server) queueOf() float64 {
-	switch {
-	case s.load.Queue >= 0:
-		return s.load.Queue
-	case s.load.InFlight >= 0:
-		return s.load.InFlight
+	for _, reported := range []float64{s.load.Queue, s.load.InFlight} {
+		if reported >= 0 {
+			return reported
+		}
 	}
 	return float64(s.own)
 }
