Read load reports by the names that the settings list

Seen with the probe of frames: reports say busy=0.614,rif=2.102, as settings.report.columns lists them. At fault: frame.ParseLoad knew util and inflight only, so the broker never heard a load and its fitness table stayed empty: every server counted as average. Test: a recorded frame in frames.txt.

--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -140,7 +140,9 @@
 	return r, nil
 }
 
-// ParseLoad reads a load report: name=value pairs set apart by commas, or "-". Unknown names are ignored.
+// ParseLoad reads a load report: name=value pairs set apart by commas, or "-". A deployment's settings list
+// its names for the values (report.columns), which differ from the protocol's own; both are known here, any
+// other is ignored.
 func ParseLoad(p []byte) (cloverhook.Load, error) {
 	l := cloverhook.NoLoad
 	for len(p) > 0 && string(p) != "-" {
@@ -152,17 +154,17 @@
 			return cloverhook.NoLoad, fmt.Errorf("a load report with %q", pair)
 		}
 		switch string(name) {
-		case "inflight":
+		case "inflight", "rif":
 			l.InFlight = v
-		case "queue":
+		case "queue", "q":
 			l.Queue = v
-		case "util":
+		case "util", "busy":
 			l.Busy = v
-		case "latency_ms":
+		case "latency_ms", "lat_ms":
 			l.Latency = v / 1000
-		case "qps":
+		case "qps", "rate":
 			l.Rate = v
-		case "eps":
+		case "eps", "fail_rate":
 			l.ErrorRate = v
 		}
 	}
