Give up lost attempts of safe parts; judge silence by connection and by what is owed

Checked with probes in the log: (1) at the end of late queries a part was still out at a server that had answered others meanwhile; (2) new calls kept going to a silent connection, first in the list, for 0.4 s and more; (3) of 903 refusals all came at arrival, within 0.1 ms: wait() was hundreds of seconds, since both holders of a shard each owed one or two lost parts and pulse fell to 0.0000 4 ms after their last answer, so nothing was sent, so nothing was answered; (4) an aim before now: clients that left after 1 to 3 ms set it. Ruled out: CPU (0.2 of 0.28 s in the worst second), the front (requests reach the module in 0.3 ms), descriptors, server overload (p50 6 ms). At fault: overdue (copies only), pulse and busySince, the aim from leftAges in onQuery; upstream's pick and SilentFor.

--- a/failures_test.go
+++ b/failures_test.go
@@ -597,3 +597,70 @@
 		t.Errorf("%d of 20 parts went to the one server known, want at most 6: ten new ones are as good", got)
 	}
 }
+
+// One connection of a server may fall silent while the others go on. What was lost on it must not count as the
+// server's silence for as long as it answers what is sent since, or its shards' queries are refused.
+func TestWhatWasLostIsNotSilence(t *testing.T) {
+	r := newRig(t, settings(), servers(2)...)
+	r.warm(60, 0.02)
+	_, ev := r.query(0, 2) // both parts are lost
+	lost := sends(r.handle(ev...))
+	if len(lost) != 2 {
+		t.Fatalf("%d sends", len(lost))
+	}
+	r.warm(20, 0.02)
+	r.now += 0.2 // and then nobody asks for a while
+	_, ev = r.query(0, 1)
+	if out := r.handle(ev...); len(finals(out)) != 0 || len(sends(out)) != 1 {
+		t.Errorf("%v, want the part sent", out)
+	}
+}
+
+// An attempt that its server has passed over for long is lost: it is given up for another, once, where a repeat
+// is safe, and left alone where it is not.
+func TestAttemptPassedOverIsGivenUp(t *testing.T) {
+	for _, repeat := range []cloverhook.Repeat{cloverhook.RepeatSafe, cloverhook.RepeatUnsafe} {
+		s := settings()
+		s.Classes[0].Repeat = repeat
+		r := newRig(t, s, servers(1)...) // one server: it answers everything else
+		r.warm(40, 0.02)
+		_, ev := r.query(0, 1)
+		first := sends(r.handle(ev...))[0]
+		cancelled := 0
+		for range 10 {
+			_, ev := r.query(0, 1)
+			out := r.handle(ev...)
+			r.now += 0.02
+			for _, other := range sends(out) {
+				out = append(out, r.handle(ended(other.ID, 0, other.Server, cloverhook.OK, 0.02))...)
+			}
+			for _, a := range out {
+				if c, ok := a.(cloverhook.Cancel); ok && c.ID == first.ID {
+					cancelled++
+				}
+			}
+		}
+		if want := map[cloverhook.Repeat]int{cloverhook.RepeatSafe: 1}[repeat]; cancelled != want {
+			t.Errorf("repeat %v: cancelled %d times, want %d", repeat, cancelled, want)
+		}
+	}
+}
+
+// Clients that leave sooner than parts take cannot be served: the others must not be refused for them.
+func TestClientsThatLeaveAtOnceSetNoAim(t *testing.T) {
+	r := newRig(t, settings(), servers(3)...)
+	r.warm(40, 0.05)
+	for range 12 {
+		id, ev := r.query(0, 1)
+		out := sends(r.handle(ev...))
+		if len(out) != 1 {
+			t.Fatal("a query was refused for the clients that left before")
+		}
+		r.at(r.now+0.001, cloverhook.ClientGone{ID: id}, ended(out[0].ID, 0, out[0].Server, cloverhook.Cancelled, 0.001))
+		r.now += 4
+	}
+	_, ev := r.query(0, 1)
+	if out := r.handle(ev...); len(finals(out)) != 0 || len(sends(out)) != 1 {
+		t.Errorf("%v, want the part sent", out)
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -21,9 +21,14 @@
 	writeLimit = 2 * time.Second        // a peer that takes no bytes for so long is given up
 )
 
-// SilentFor is how long a call may have been without any word from its connection before its end retires
-// the connection.
-const SilentFor = 400 * time.Millisecond
+// A connection that owes answers and has been without a word for longer than answers take gets no more calls:
+// the machine, or the path of this one connection, may have dropped off the network, which shows nowhere else.
+const (
+	SilentFor   = 400 * time.Millisecond // at most, and while no answer has told how long they take
+	silentLeast = 20 * time.Millisecond
+	silentTimes = 8    // the mean time of answers
+	paceStep    = 0.05 // weight of one answer in that mean
+)
 
 // job is one call or probe on a connection.
 type job struct {
@@ -58,7 +63,7 @@
 	done    map[string]bool // answered lately
 	doneIDs []string        // the same, in order
 	probes  []*job          // written and unanswered, in order
-	heard   time.Time       // when the last message came
+	owed    time.Time       // since when it owes an answer without a word; zero: it owes none
 	wake    chan struct{}   // tells the writer that there is something, cap 1
 	idle    *time.Timer     // runs while nothing is out
 }
@@ -109,7 +114,7 @@
 	if j.state == jobWriting || j.state == jobWritten {
 		// Guards against a machine that has dropped off the network: its connections stay open and silent,
 		// and what is written to them may have run. A new one does not come up, and shows that nothing ran.
-		if j.state == jobWritten && cn.heard.Before(j.at) && time.Since(j.at) > SilentFor {
+		if cn.silent(cn.l.patience() / 2) {
 			cn.retired = true
 		}
 		cn.cancels = append(cn.cancels, j.id)
@@ -120,9 +125,17 @@
 		cn.signal()
 	}
 	j.state = jobOver
+	if len(cn.calls) == 0 {
+		cn.owed = time.Time{}
+	}
 	cn.rest()
 }
 
+// silent tells that the connection has owed an answer for so long without a word. The caller holds mu.
+func (cn *conn) silent(limit time.Duration) bool {
+	return !cn.owed.IsZero() && time.Since(cn.owed) > limit
+}
+
 func (cn *conn) busy() bool { return len(cn.calls)+len(cn.probes)+len(cn.queue)+len(cn.cancels) > 0 }
 
 // rest starts the idle timer once nothing is out. The caller holds mu.
@@ -266,7 +279,9 @@
 		n, err := cn.sock.Write(buf)
 		cn.l.mu.Lock()
 		if j != nil && j.state == jobWriting {
-			j.state, j.at = jobWritten, time.Now()
+			if j.state, j.at = jobWritten, time.Now(); cn.owed.IsZero() {
+				cn.owed = j.at
+			}
 			if cn.broken != nil || err != nil {
 				// The break came meanwhile: it may have run only if its last byte was written.
 				status := cn.lost()
@@ -355,7 +370,11 @@
 
 // take books one message. The caller holds mu.
 func (cn *conn) take(m frame.Message) error {
-	cn.heard = time.Now()
+	defer func() {
+		if cn.owed = (time.Time{}); len(cn.calls) > 0 {
+			cn.owed = time.Now()
+		}
+	}()
 	switch m.Letter {
 	case 'R':
 		id := string(m.Reply.ID)
@@ -377,6 +396,7 @@
 		cn.answered(id)
 		j.state = jobOver
 		if r.Status == cloverhook.OK {
+			cn.l.answered(time.Since(j.at))
 			r.Value = append([]byte{}, m.Reply.Value...) // it outlives the buffer
 		}
 		j.call.Done(r)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -25,7 +25,8 @@
 	ctx   context.Context
 	mu    sync.Mutex // guards everything below, and the conns' fields that say so
 	conns map[string][]*conn
-	held  int // conns in all
+	held  int           // conns in all
+	pace  time.Duration // mean time of answers; 0: none has come
 }
 
 // New makes a link whose connections end with ctx.
@@ -83,7 +84,8 @@
 	full := l.opt.Conns > 0 && l.held >= l.opt.Conns
 	unsafe := j.call != nil && j.call.Unsafe
 	for _, cn := range l.conns[addr] {
-		if !cn.retired && len(cn.calls) < l.opt.Streams && (cn.unsafe == unsafe || full) && !cn.had(j.id) {
+		if !cn.retired && len(cn.calls) < l.opt.Streams && (cn.unsafe == unsafe || full) && !cn.had(j.id) &&
+			!cn.silent(l.patience()) {
 			return cn
 		}
 	}
@@ -97,6 +99,22 @@
 	return cn
 }
 
+// answered books how long an answer took, and patience is how long none may come before a connection is taken
+// for silent. The caller holds mu.
+func (l *Link) answered(took time.Duration) {
+	if l.pace == 0 {
+		l.pace = took
+	}
+	l.pace += time.Duration(paceStep * float64(took-l.pace))
+}
+
+func (l *Link) patience() time.Duration {
+	if l.pace == 0 {
+		return SilentFor
+	}
+	return min(max(silentTimes*l.pace, silentLeast), SilentFor)
+}
+
 // drop forgets a connection. The caller holds mu.
 func (l *Link) drop(cn *conn) {
 	list := l.conns[cn.addr]
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -192,6 +192,27 @@
 	p.gets('S', "q.0")
 }
 
+// A connection may fall silent alone. Once it has owed an answer for eight times what answers take, the next
+// call goes by a new one, and the server is asked no more by the old.
+func TestCallsAvoidASilentConnection(t *testing.T) {
+	r := newRig(t, upstream.Options{Streams: 9, Idle: time.Minute, ConnectTimeout: time.Second})
+	r.do(send(r.ask("a")))
+	first := r.accept()
+	first.gets('S', "a.0")
+	first.sends('R', "a.0 done 1 -\nv")
+	<-r.ended
+	r.do(send(r.ask("lost")))
+	first.gets('S', "lost.0")
+	time.Sleep(100 * time.Millisecond)
+	r.do(send(r.ask("next")))
+	second := r.accept()
+	second.gets('S', "next.0")
+	first.sends('R', "lost.0 done 1 -\nv") // it was only slow, and is of use again
+	require.Equal(t, cloverhook.OK, (<-r.ended).Status)
+	r.do(send(r.ask("more")))
+	first.gets('S', "more.0")
+}
+
 // What cannot be read leaves its connection of no use: all that is out on it has failed, at once, and may
 // have run, but the server is not taken for cut off. What was served before it is served.
 func TestSpoiltAnswers(t *testing.T) {
--- a/policy.go
+++ b/policy.go
@@ -33,7 +33,8 @@
 	load            Load
 	heardAt         float64 // when load came; 0: never
 	answeredAt      float64 // its latest success
-	busySince       float64 // when own last rose from 0
+	passed          float64 // when the latest part was sent that it answered
+	busySince       float64 // when the first part was sent after its latest success
 	ghosts          []ghost
 	badShare, badAt float64 // share of failed attempts and when it was so
 	fitness         float64 // 0: unreported at the last rebuild
@@ -54,11 +55,12 @@
 type mark struct{ share, at float64 }
 
 type attempt struct {
-	srv    *server
-	sentAt float64
-	live   bool
-	mayRun bool
-	crowd  float64 // this mixer's parts at the server then, this one included
+	srv     *server
+	sentAt  float64
+	live    bool
+	mayRun  bool
+	dropped bool    // its Cancel is on the way
+	crowd   float64 // this mixer's parts at the server then, this one included
 }
 
 type part struct {
@@ -375,16 +377,14 @@
 	return fitness * p.nearness(s) * p.warmth(s) * s.leisure(p.now) * p.trust(s, 0) * p.pulse(s) * p.speed(s)
 }
 
-// leisure falls with this mixer's own parts in flight: the table is up to ten seconds old, a queue builds up
-// in one. It guards against herding on a server that the table praises, and against any server that
-// answers slowly, since its parts pile up. What others pile up there is for speed to see.
+// leisure falls with this mixer's own parts in flight. It guards against herding on a server that the table
+// praises, and against any that answers slowly. What others pile up there is for speed to see.
 func (s *server) leisure(now float64) float64 {
 	return math.Pow(1+float64(s.depth(now)), -crowding)
 }
 
-// speed falls with how much longer than the fleet's a server's own latest parts took. It guards against
-// servers that are slow or whose queues are made by other mixers, for as long as this mixer remembers. It
-// could harm where single parts are very long.
+// speed falls with how much longer than the fleet's a server's own latest parts took. It guards against slow
+// servers and other mixers' queues, while this one remembers. It could harm where single parts are very long.
 func (p *Policy) speed(s *server) float64 {
 	return math.Pow(math.Max(p.paceOf(s)/math.Max(p.pace, 1e-6), speedLeast), -distance)
 }
@@ -399,16 +399,7 @@
 	return math.Min(newsMost, 1-math.Exp2(-(p.now-last)/newsSpan))
 }
 
-const (
-	crowding   = 3.0 // steeper than proportional: the table does not see a queue build
-	distance   = 2.5 // how steeply slower servers are avoided
-	speedLeast = 0.3 // quick ones do not draw more than their weight in one lucky part
-	newsMost   = 0.9 // the last outcome never tells all
-	newsSpan   = 2.0 // seconds of outcomes that outweigh older ones
-)
-
-// nearness is less than 1 for servers of other zones where crossing zones has a price. It acts only among
-// replicas that are otherwise alike: a queue, failures or silence near by weigh more.
+// nearness is less than 1 for servers of other zones where crossing has a price. Any trouble weighs more.
 func (p *Policy) nearness(s *server) float64 {
 	if s.Zone == p.set.Zone || p.set.CrossZonePrice <= 0 {
 		return 1
@@ -418,17 +409,16 @@
 
 const farShare = 0.1 // one more part in flight near by about outweighs it
 
-// trust falls with the share of attempts that lately failed there: a server that fails fast shows a short
-// queue and would win parts. It answers errors, refused connections, resets and full queues alike, and fades.
-// The draw only compares, and takes the plain share: a median of all is itself bad where half of the servers
-// fail for this mixer. Elsewhere what exceeds the usual counts. It could harm where one class alone fails.
+// trust falls with the share of attempts that lately failed there in any way, and fades: a server that fails
+// fast shows a short queue and would win parts. The draw compares plain shares: a median is itself bad where
+// half of the servers fail. Elsewhere what exceeds the usual counts. It could harm if one class alone fails.
 func (p *Policy) trust(s *server, usual float64) float64 {
 	excess := p.bad(s) - usual
 	return math.Max(math.Pow(1-math.Max(excess, 0), distrust), trustFloor)
 }
 
-// bad is the decayed share of failed attempts at a server. It fades towards that of its zone: servers that
-// fail together, for all or for this mixer, mostly stand together. Cut-off links fade as slowly as paces.
+// bad is the decayed share of failed attempts at a server. It fades towards its zone's: servers that fail
+// together mostly stand together. Cut-off links fade as slowly as paces.
 func (p *Policy) bad(s *server) float64 {
 	zone := p.zones[s.Zone].share * math.Exp2(-(p.now-p.zones[s.Zone].at)/forgiveIn)
 	zone *= math.Min(float64(len(p.zones)-1), 1) // where there is but one it tells nothing of this server
@@ -469,20 +459,25 @@
 	forgiveIn    = 5.0  // seconds in which a bad mark halves; about a trouble's shortest span
 	distrust     = 4.0  // a server that fails a third of its parts gets a fifth of its share
 	trustFloor   = 1e-4 // below a sound server's weight however crowded; forgiving brings the trickle
+	silentAfter  = 2.0  // paces without a word before a server is doubted
+	silentLeast  = 0.01 // seconds: shorter ones are chance
+	crowding     = 3.0  // steeper than proportional: the table does not see a queue build
+	distance     = 2.5  // how steeply slower servers are avoided
+	speedLeast   = 0.3  // quick ones do not draw more than their weight in one lucky part
+	newsMost     = 0.9  // the last outcome never tells all
+	newsSpan     = 2.0  // seconds of outcomes that outweigh older ones
 )
 
 // pulse falls while a server that owes this mixer answers stays silent for longer than the fleet usually
-// takes: it hangs, stalls or has dropped off the network. It could harm servers of rare, long parts.
+// takes: it hangs or has dropped off the network. It could harm servers of rare, long parts.
 func (p *Policy) pulse(s *server) float64 {
-	if s.own == 0 || p.pace == 0 {
+	if s.own == 0 || p.pace == 0 || s.busySince < s.answeredAt {
 		return 1
 	}
-	silence := (p.now - math.Max(s.answeredAt, s.busySince)) / (silentAfter * p.pace)
+	silence := (p.now - s.busySince) / math.Max(silentAfter*p.pace, silentLeast)
 	return math.Min(1, math.Pow(math.Max(silence, 1), -crowding))
 }
 
-const silentAfter = 2.0 // paces without a word before a server is doubted
-
 // warmth is the share of its capacity that a server surely has: less than 1 while it warms up.
 func (p *Policy) warmth(s *server) float64 {
 	age := p.now - s.coldSince
@@ -492,16 +487,15 @@
 	return p.set.ColdShare + (1-p.set.ColdShare)*math.Max(age, 0)/p.set.WarmUp
 }
 
-// coldRoom tells whether a cold server may get one more part. Nobody tells its capacity; what warm servers
-// answer is a lower bound of theirs, and each mixer keeps to its own share of that by its own count.
+// coldRoom tells whether a cold server may get one more part. What warm servers answer is a lower bound of
+// their capacity, and each mixer keeps to its own share of that by its own count.
 func (p *Policy) coldRoom(s *server) bool {
 	w := p.warmth(s)
 	if w >= 1 || p.set.FallTime <= 0 {
 		return true
 	}
 	s.sends = slices.DeleteFunc(s.sends, func(t float64) bool { return t < p.now-p.set.FallTime })
-	// Where this mixer's share is a broken number of parts, chance rounds it, anew in each window: rounding
-	// up always would add up over the mixers, rounding down would leave a cold fleet idle.
+	// Chance rounds this mixer's share, anew in each window: up always would add up over the mixers.
 	if p.now >= s.luckUntil {
 		s.luck, s.luckUntil = p.rng.Float64(), p.now+p.set.FallTime
 	}
@@ -512,8 +506,8 @@
 
 const coldMargin = 0.8 // share of the fall limit that is used; the rest is for chance and uneven work
 
-// draw picks a replica for a part, or nil where none may take it now. All draws of one turn share one
-// variate a server: each alone is proportional to weight, together they meet on the same servers.
+// draw picks a replica for a part, or nil. All draws of one turn share one variate a server: each alone is
+// proportional to weight, together they meet on the same servers.
 func (p *Policy) draw(pt *part) *server {
 	var best *server
 	for _, again := range []bool{false, true} {
@@ -561,19 +555,15 @@
 		q.end = e.Deadline - p.lead()
 	}
 	// Clients that leave long before their stated deadline get nothing from a later answer: while many do,
-	// aim at the time that most of them wait. It could harm the others, answered in part too early.
-	if patience := p.leftAges.quantile(0.25); p.leaving > leaveMany && patience > 0 {
+	// aim at the time that most of them wait. If parts take longer, that would only get others refused.
+	patience, usual := p.leftAges.quantile(0.25), p.latency[e.Class].quantile(0.95)
+	if p.leaving > leaveMany && patience > usual {
 		q.aim = math.Min(q.aim, p.now+patience-p.lead())
 	}
 	p.queries[e.Number], p.byQuery[e.ID] = q, q
 	p.open = append(p.open, q)
 }
 
-const (
-	leaveStep = 0.05 // weight of one query in the share of clients that leave
-	leaveMany = 0.1  // a share beyond single impatient clients
-)
-
 func (p *Policy) onPart(e Part) {
 	p.tookOne()
 	if q := p.queries[e.Number]; q != nil && !q.ended {
@@ -633,8 +623,8 @@
 	if e.Status == TimedOut || e.Status == Cancelled {
 		s.ghosts = append(s.ghosts, ghost{a.sentAt, p.now + ghostSpan})
 	}
-	// A cancelled attempt would have taken longer still, a full queue counts as a wait of a whole aim. Only
-	// sound servers tell how fast the fleet is: a few that hang must not get the rest's queries refused.
+	// A cancelled attempt would have taken longer still, a full queue counts as a whole aim. Only sound
+	// servers tell how fast the fleet is: a few that hang must not get the rest's queries refused.
 	took, own := e.Latency/a.crowd, p.paceOf(s)
 	if e.Status == OK || e.Status == TimedOut || e.Status == Cancelled && took > own {
 		s.pace, s.paceAt = own+p.newsStep(s.paceAt)*(took-own), p.now
@@ -648,17 +638,12 @@
 	if e.Status != OK {
 		return
 	}
-	s.answeredAt = p.now
+	s.answeredAt, s.passed = p.now, math.Max(s.passed, a.sentAt)
 	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.sentAt <= a.sentAt })
 	p.latency[pt.q.Class].add(e.Latency)
 	p.rate++
 }
 
-const (
-	rateSpan = 5.0  // seconds over which the answered rate is averaged
-	peakSpan = 60.0 // seconds in which its peak is forgotten
-)
-
 // ring keeps the latest of some figures.
 type ring []float64
 
@@ -679,7 +664,8 @@
 
 func (p *Policy) cancelLive(pt *part) {
 	for i := range pt.attempts {
-		if pt.attempts[i].live && p.set.MayCancel {
+		if a := &pt.attempts[i]; a.live && !a.dropped && p.set.MayCancel {
+			a.dropped = true
 			p.do(Cancel{ID: pt.ID, Attempt: i})
 		}
 	}
@@ -782,9 +768,8 @@
 	}
 }
 
-// wait is how long one more part of a shard is expected to take, from the latest paces and depths of its
-// replicas: harmonic means, since the draw avoids the slow and deep ones. Where replicas are silent, failing
-// or cold, what is ahead of it takes longer by the share that is missing.
+// wait is how long one more part of a shard is expected to take: harmonic means of its replicas' paces and
+// depths, since the draw avoids slow and deep ones. The share that is silent or cold makes it longer.
 func (p *Policy) wait(shard int) float64 {
 	all, able, idle, share := 0.0, 0.0, 0.0, 0.0
 	p.holders(shard, func(s *server) {
@@ -804,9 +789,8 @@
 // sound is how far a server does its work, by what this mixer sees.
 func (p *Policy) sound(s *server) float64 { return p.trust(s, p.fleetBad) * p.pulse(s) }
 
-// depth counts this mixer's parts at a server: those in flight, and those cancelled or timed out that it
-// may still be working through. Queues go in order, so an answer clears all that was sent before it. It
-// guards against jams of dead work, which repeats would feed; where servers drop dead work it errs a while.
+// depth counts this mixer's parts at a server: those in flight, and those given up that it may still work
+// through, against jams of dead work. Queues go in order, so an answer clears all that was sent before it.
 func (s *server) depth(now float64) int {
 	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return now > g.until })
 	return s.own + len(s.ghosts)
@@ -819,8 +803,7 @@
 // doomed tells at a query's arrival that it would not be done within its aim, so that it is better refused
 // before it costs work. The less is seen of each server, the wider the margin. A few parts are let through,
 // to learn of the wait's end. Where enough other parts make an answer, only the doomed ones are left out.
-// Queries worth more a part than the usual one have a wider margin: where not all can be served, they are.
-// It could harm the worst class where those are many.
+// Queries worth more a part have a wider margin. It could harm the worst class where those are many.
 func (p *Policy) doomed(q *query) bool {
 	left, limit := 0.0, (admitStale+admitFresh/p.memory)*(q.aim-p.now)
 	if parts := q.class.Need * float64(len(q.parts)); !p.set.WorthByWork && q.class.Worth > 0 {
@@ -838,15 +821,23 @@
 }
 
 const (
-	admitStale  = 0.4  // share of the time to the aim that the expected wait may take, where little is seen
-	admitFresh  = 0.4  // and so much more where a server is heard of all the time
-	breakChance = 0.05 // so unlikely must it be that so many attempts were broken off by chance
-	waryFor     = 30.0 // seconds: at size a mixer meets such a query only once in so long
-	scoutShare  = 0.3  // of the time to the aim that others wait for the part ahead
-	meritLeast  = 0.7  // a narrower margin would refuse what an idle fleet serves at once
-	trialShare  = 0.03 // of the parts too long in waiting that are let through
-	paceSpan    = 2.0  // seconds of answers that make the fleet's pace
-	paceFades   = 10.0 // seconds in which it halves by itself: refusing all, a mixer hears no more of it
+	admitStale   = 0.4  // share of the time to the aim that the expected wait may take, where little is seen
+	admitFresh   = 0.4  // and so much more where a server is heard of all the time
+	breakChance  = 0.05 // so unlikely must it be that so many attempts were broken off by chance
+	waryFor      = 30.0 // seconds: at size a mixer meets such a query only once in so long
+	scoutShare   = 0.3  // of the time to the aim that others wait for the part ahead
+	meritLeast   = 0.7  // a narrower margin would refuse what an idle fleet serves at once
+	trialShare   = 0.03 // of the parts too long in waiting that are let through
+	paceSpan     = 2.0  // seconds of answers that make the fleet's pace
+	paceFades    = 10.0 // seconds in which it halves by itself: refusing all, a mixer hears no more of it
+	copyTimes    = 1.5  // beyond what nineteen of twenty parts take, so that copies stay rare
+	giveUpTimes  = 3.0  // an attempt given up may run on: its work is lost, so it must be surer
+	passedTimes  = 2.0  // so much later a part was sent that was answered: cores side by side pass often
+	sounderTimes = 4.0  // how much sounder the copy's server must be, beyond chance
+	rateSpan     = 5.0  // seconds over which the answered rate is averaged
+	peakSpan     = 60.0 // seconds in which its peak is forgotten
+	leaveStep    = 0.05 // weight of one query in the share of clients that leave
+	leaveMany    = 0.1  // a share beyond single impatient clients
 )
 
 // maySend tells whether the rules allow one more attempt of a part, now.
@@ -875,8 +866,7 @@
 	}
 }
 
-// forget drops the times before the budget's window; a slack above 0 errs towards dropping.
-func (p *Policy) forget(times []float64, slack float64) []float64 {
+func (p *Policy) forget(times []float64, slack float64) []float64 { // those before the budget's window
 	from := p.now - p.set.BudgetSpan + slack
 	return slices.DeleteFunc(times, func(t float64) bool { return t < from })
 }
@@ -895,9 +885,8 @@
 func (p *Policy) sendParts(q *query, in float64) {
 	p.turn++
 	want := in
-	// A query may bring down each server that begins a part of it. While such were met in its class, or once
-	// one of its servers broke off, one part goes ahead and the others wait for its answer a while. It could
-	// harm after crashes: queries take longer then.
+	// A query may bring down each server that begins a part of it. While such were met, or once a server of
+	// its own broke off, one part goes ahead and the others wait a while. It could harm after crashes.
 	scoutEnd := q.arrived + scoutShare*(q.aim-q.arrived)
 	scout := in == 0 && p.now < scoutEnd && (q.resets > 0 || p.now < p.waryUntil[q.Class])
 	for _, pt := range q.parts {
@@ -911,7 +900,11 @@
 		if want >= q.class.Need-sumSlack && q.step == 1 {
 			return // the parts that are out will make a whole answer
 		}
-		if pt.live > 0 && !(p.set.MayCopy && p.overdue(pt)) {
+		overdue := pt.live > 0 && p.overdue(pt)
+		if overdue && !p.set.MayCopy {
+			p.cancelLive(pt) // then another may go
+		}
+		if pt.live > 0 && !(p.set.MayCopy && overdue) {
 			if q.class.Need > 1-sumSlack || q.step == 2 || !p.late(pt) {
 				want += pt.Weight
 			}
@@ -938,13 +931,8 @@
 	}
 }
 
-const (
-	patienceTimes = 1.5 // beyond what nineteen of twenty parts take, so that copies stay rare
-	sounderTimes  = 4.0 // how much sounder the copy's server must be, beyond chance
-)
-
 // late tells that a running attempt takes longer than nearly all do. A spare part of its query, if any, is
-// then sent in its place: a first attempt of its own, whatever the rules say of copies.
+// then sent in its place: an attempt of its own.
 func (p *Policy) late(pt *part) bool {
 	high := p.latency[pt.q.Class].quantile(0.95)
 	due := pt.attempts[len(pt.attempts)-1].sentAt + high
@@ -954,21 +942,28 @@
 	return high > 0 && p.now >= due
 }
 
-// overdue tells whether a running attempt should get a second copy: its server has given no answer since the
-// attempt was sent, for longer than patience allows, and another could still answer within the aim. A slow
-// but living server is left alone. A running attempt is never cancelled for another: its work goes on.
+// overdue tells whether a running attempt should make way for another, or have one beside it where copies may
+// be: for longer than patience its server has answered nothing since, or only what was sent later, so that
+// this answer is lost. A slow but living server is left alone: its work would go on.
 func (p *Policy) overdue(pt *part) bool {
-	a := &pt.attempts[len(pt.attempts)-1]
-	patience := patienceTimes * p.latency[pt.q.Class].quantile(0.95)
-	if patience == 0 || pt.live != 1 || !a.live || p.now >= pt.q.aim {
+	a, high := &pt.attempts[len(pt.attempts)-1], p.latency[pt.q.Class].quantile(0.95)
+	stays := pt.q.class.Repeat != RepeatSafe || !p.set.MayCancel || len(pt.attempts) >= p.set.MaxAttempts
+	if high == 0 || pt.live != 1 || !a.live || a.dropped || p.now >= pt.q.aim || !p.set.MayCopy && stays {
 		return false
 	}
-	due := math.Max(a.sentAt, a.srv.answeredAt) + patience
+	patience, passed := giveUpTimes*high, a.srv.passed > a.sentAt+passedTimes*high
+	if p.set.MayCopy {
+		patience = copyTimes * high
+	}
+	due := a.sentAt + patience
+	if !passed {
+		due = math.Max(due, a.srv.answeredAt+patience)
+	}
 	if p.now < due {
 		p.wakeAt(due)
 		return false
 	}
-	better := false // in a group that is silent as a whole, more sends would only feed the jam
+	better := passed // in a group that is silent as a whole, more sends would only feed the jam
 	p.holders(pt.Shard, func(s *server) {
 		better = better || s != a.srv && s.ready() && p.sound(s) > sounderTimes*p.sound(a.srv)
 	})
@@ -982,7 +977,7 @@
 	a := attempt{srv: s, sentAt: p.now, live: true, mayRun: true, crowd: float64(1 + s.depth(p.now))}
 	pt.attempts = append(pt.attempts, a)
 	pt.live++
-	if s.own == 0 {
+	if s.own == 0 || s.busySince <= s.answeredAt { // one that answers does not owe what was lost before
 		s.busySince = p.now
 	}
 	s.own++
