Send parts that must not run twice alone, by a connection that spoke a moment ago

Checked with a probe that logged what was out on each connection that broke: 54 charge-post parts, 52 of them reset 0.03 ms after their first byte on a connection that had rested for 114 ms and more; the least rest was 114 ms, none below. Two were on new connections. At fault: connections kept apart for unsafe parts rest longest of all, so they met the resets most (upstream.pick). Now a connection is not set apart: an unsafe part takes one on which nothing is out and that spoke 2 to 80 ms ago, else a new one; nothing joins it there; a rested connection is closed for the new one, so that they stay few. Other calls take the one that spoke last. Test: TestUnsafePartsGoAloneBySureConnections (fails without).

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -21,6 +21,13 @@
 	writeLimit = 2 * time.Second        // a peer that takes no bytes for so long is given up
 )
 
+// A part that must not run twice is lost where its connection breaks, so it goes by one that is sure, else by a
+// new one. On the platform, connections were reset at the next request from a tenth of a second's rest on.
+const (
+	settled = 2 * time.Millisecond
+	fresh   = 80 * time.Millisecond
+)
+
 // A connection that owes answers and has been without a word for longer than answers take gets no more calls:
 // the machine, or the path of this one connection, may have dropped off the network, which shows nowhere else.
 const (
@@ -52,7 +59,6 @@
 type conn struct {
 	l       *Link
 	addr    string
-	unsafe  bool     // carries parts that must not run twice
 	sock    net.Conn // nil until it is up
 	retired bool     // takes nothing new
 	broken  error    // why it ended
@@ -63,6 +69,7 @@
 	done    map[string]bool // answered lately
 	doneIDs []string        // the same, in order
 	probes  []*job          // written and unanswered, in order
+	heard   time.Time       // when the last message came; zero: none has
 	owed    time.Time       // since when it owes an answer without a word; zero: it owes none
 	wake    chan struct{}   // tells the writer that there is something, cap 1
 	idle    *time.Timer     // runs while nothing is out
@@ -70,9 +77,9 @@
 
 func partID(c *broker.Call) string { return frame.PartID(c.Query, c.Shard) }
 
-func newConn(l *Link, addr string, unsafe bool) *conn {
+func newConn(l *Link, addr string) *conn {
 	return &conn{
-		l: l, addr: addr, unsafe: unsafe, calls: map[string]*job{}, stale: map[string]bool{},
+		l: l, addr: addr, calls: map[string]*job{}, stale: map[string]bool{},
 		done: map[string]bool{}, wake: make(chan struct{}, 1),
 	}
 }
@@ -136,6 +143,23 @@
 	return !cn.owed.IsZero() && time.Since(cn.owed) > limit
 }
 
+// reserved tells that a part that must not run twice is out on the connection, alone. The caller holds mu.
+func (cn *conn) reserved() bool {
+	if len(cn.calls) == 1 {
+		for _, j := range cn.calls {
+			return j.call.Unsafe
+		}
+	}
+	return false
+}
+
+// sure tells that nothing is out on the connection, and that it very likely lives: it has spoken lately, but
+// not only just now, since servers close some right behind an answer. The caller holds mu.
+func (cn *conn) sure() bool {
+	age := time.Since(cn.heard)
+	return !cn.busy() && age >= settled && age <= fresh
+}
+
 func (cn *conn) busy() bool { return len(cn.calls)+len(cn.probes)+len(cn.queue)+len(cn.cancels) > 0 }
 
 // rest starts the idle timer once nothing is out. The caller holds mu.
@@ -370,9 +394,10 @@
 
 // take books one message. The caller holds mu.
 func (cn *conn) take(m frame.Message) error {
+	cn.heard = time.Now()
 	defer func() {
 		if cn.owed = (time.Time{}); len(cn.calls) > 0 {
-			cn.owed = time.Now()
+			cn.owed = cn.heard
 		}
 	}()
 	switch m.Letter {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -78,21 +78,34 @@
 
 // pick returns the connection for a job; nil: none may be opened. A part's id repeats with each attempt: an
 // attempt never shares a connection with an earlier one whose answer may still come, so that an R names one
-// attempt only. Parts that must not run twice go by connections of their own: an answer that is spoilt
-// makes its connection useless for all that is out on it, and those could not be sent again.
+// attempt only. A part that must not run twice shares with no other: an answer that is spoilt makes its
+// connection useless for all that is out on it, and it could not be sent again.
 func (l *Link) pick(addr string, j *job) *conn {
 	full := l.opt.Conns > 0 && l.held >= l.opt.Conns
 	unsafe := j.call != nil && j.call.Unsafe
+	var best, rested *conn
 	for _, cn := range l.conns[addr] {
-		if !cn.retired && len(cn.calls) < l.opt.Streams && (cn.unsafe == unsafe || full) && !cn.had(j.id) &&
-			!cn.silent(l.patience()) {
-			return cn
+		if cn.retired || len(cn.calls) >= l.opt.Streams || cn.had(j.id) || cn.silent(l.patience()) {
+			continue
 		}
+		if !cn.busy() && time.Since(cn.heard) > fresh {
+			rested = cn
+		}
+		suits := !cn.reserved()
+		if unsafe {
+			suits = cn.sure()
+		}
+		if (suits || full) && (best == nil || cn.heard.After(best.heard)) {
+			best = cn
+		}
+	}
+	if best != nil || full {
+		return best
 	}
-	if full {
-		return nil
+	if unsafe && rested != nil && len(l.conns[addr]) > 1 {
+		rested.fail(errIdle) // few connections: the new one takes its place
 	}
-	cn := newConn(l, addr, unsafe)
+	cn := newConn(l, addr)
 	l.conns[addr] = append(l.conns[addr], cn)
 	l.held++
 	go cn.run()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -269,13 +270,30 @@
 	}
 }
 
-// What makes a connection useless must not fail parts that cannot be sent again.
-func TestUnsafePartsGoByConnectionsOfTheirOwn(t *testing.T) {
-	r := newRig(t, options)
+// What ends a connection must not fail parts that cannot be sent again: they go alone, by a connection that spoke
+// a moment ago, else by a new one. One that has rested may be gone, and makes room for the new one.
+func TestUnsafePartsGoAloneBySureConnections(t *testing.T) {
+	r := newRig(t, upstream.Options{Streams: 9, Idle: time.Minute, ConnectTimeout: time.Second})
 	r.do(send(r.ask("safe")))
-	r.accept().gets('S', "safe.0")
-	r.do(send(r.askOf(1, "unsafe")))
-	r.accept().gets('S', "unsafe.0")
+	first := r.accept()
+	first.gets('S', "safe.0")
+	r.do(send(r.askOf(1, "alone")))
+	second := r.accept()
+	second.gets('S', "alone.0")
+	r.do(send(r.ask("other"))) // does not join it
+	first.gets('S', "other.0")
+	second.sends('R', "alone.0 done 1 -\nv")
+	<-r.ended
+	time.Sleep(20 * time.Millisecond)
+	r.do(send(r.askOf(1, "soon")))
+	second.gets('S', "soon.0")
+	second.sends('R', "soon.0 done 1 -\nv")
+	<-r.ended
+	time.Sleep(150 * time.Millisecond)
+	r.do(send(r.askOf(1, "later")))
+	r.accept().gets('S', "later.0")
+	_, err := second.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
 }
 
 func TestConnectionsAreBounded(t *testing.T) {
