Leave clients one more request on each connection after SIGTERM's half second

Checked against the logs: the second broker is told to end at 15.95 s, the first one is serving from 16.37 s on and admitted later still. In between nobody takes new connections, and the broker told every client in its next answer, and all idle ones at 0.5 s, to go. Ruled out: lost requests (rules kept), slow starts (ready after 0.0 s). At fault: front.Closing at SIGTERM, front.End at 0.5 s. Now answers are as ever for the half second in which new connections are taken; then they say Connection: close, idle connections are left open for one second more, and what is held is finished. All of it ends well before the 3.7 s after which a broker may be killed.

--- a/cmd/mothrouter/main.go
+++ b/cmd/mothrouter/main.go
@@ -27,6 +27,7 @@
 
 const (
 	stillAccepts = 500 * time.Millisecond // after SIGTERM: connections keep coming for up to 0.4 s
+	lastAsked    = time.Second            // and then: clients may use a connection that they have once more
 	memoryShare  = 0.7                    // of the limit, for the Go heap
 )
 
@@ -109,7 +110,6 @@
 	case <-term:
 	}
 	log.Info("ending")
-	clients.Closing()
 	wait := time.NewTimer(stillAccepts)
 	select {
 	case err := <-served:
@@ -121,7 +121,7 @@
 		log.Warn("the listener did not close", "err", err)
 	}
 	var ends sync.WaitGroup
-	ends.Go(func() { clients.End(ctx) })
+	ends.Go(func() { clients.End(ctx, lastAsked) })
 	if flights != nil {
 		ends.Go(func() { flights.Stop(ctx) })
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -189,18 +189,29 @@
 	return !grows || f.buffers <= f.opt.Buffers
 }
 
-// Closing has answers say from now on that the connection closes.
-func (f *Front) Closing() {
+// End has answers say from now on that the connection closes, and leaves clients a grace to ask once more on
+// those they have: closing them all at once sends every client off at the same moment, perhaps to nobody. Then
+// it closes connections that wait for nothing, the others once they have their answers, and waits for that
+// until ctx ends.
+func (f *Front) End(ctx context.Context, grace time.Duration) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.closing = true
-}
-
-// End closes connections that wait for nothing now, the others once they have their answers, and waits for
-// that until ctx ends.
-func (f *Front) End(ctx context.Context) {
+	f.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		f.wg.Wait()
+		close(done)
+	}()
+	wait := time.NewTimer(grace)
+	defer wait.Stop()
+	select {
+	case <-done:
+		return
+	case <-wait.C:
+	case <-ctx.Done():
+	}
 	f.mu.Lock()
-	f.closing, f.ending = true, true
+	f.ending = true
 	for c := range f.conns {
 		select {
 		case c.wake <- struct{}{}:
@@ -208,11 +219,6 @@
 		}
 	}
 	f.mu.Unlock()
-	done := make(chan struct{})
-	go func() {
-		f.wg.Wait()
-		close(done)
-	}()
 	select {
 	case <-done:
 	case <-ctx.Done():
