Give each tested program an address of its own, and a test of rest wider times

Now each program of the tests listens on its own loopback address. How long a connection is fresh can be set, so that the test of it has a second instead of 80 ms.

--- a/cmd/mothrouter/exchange_test.go
+++ b/cmd/mothrouter/exchange_test.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -108,16 +109,25 @@
 "slabs":24},"machineTypes":["std-2c"],"peersTotal":1,"report":{"how":"piggyback"},"tickS":0.005,
 "zones":["bern-1"]}`
 
+var addresses atomic.Int32
+
+// unused is where a program may listen. Each has a loopback address of its own: on a shared one, the port found
+// to be free could be taken by a connection before the program listens.
+func unused(t *testing.T) string {
+	n := addresses.Add(1)
+	l, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.%d:0", 1+n/250, 1+n%250))
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
 // start runs the program with the servers that it knows.
 func (p *player) start(known []string, openCap, sockets int, idle float64, flags ...string) {
 	var servers []string
 	for _, name := range known {
 		servers = append(servers, p.entry(name, "active"))
 	}
-	hold, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(p.t, err)
-	p.listen = hold.Addr().String()
-	hold.Close()
+	p.listen = unused(p.t)
 	p.config = filepath.Join(p.t.TempDir(), "config.json")
 	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"1","limits":{"memory_mb":192,"sockets":%d},
 		"known":{"version":41,"full":true,"servers":[%s]},"settings":%s}`, p.listen, p.listener("discovery").Addr(),
--- a/cmd/mothrouter/flight_test.go
+++ b/cmd/mothrouter/flight_test.go
@@ -107,10 +107,7 @@
 
 // startFlight runs the program with Flight on and returns a client of it.
 func (p *player) startFlight(speaks string, known ...string) flight.Client {
-	hold, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(p.t, err)
-	addr := hold.Addr().String()
-	hold.Close()
+	addr := unused(p.t)
 	file := filepath.Join(p.t.TempDir(), "flight.toml")
 	text := fmt.Sprintf("listen = %q\nservers = [%s]\n", addr, speaks)
 	require.NoError(p.t, os.WriteFile(file, []byte(text), 0o600))
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -25,7 +25,7 @@
 // new one. On the platform, connections were reset at the next request from a tenth of a second's rest on.
 const (
 	settled = 2 * time.Millisecond
-	fresh   = 80 * time.Millisecond
+	freshly = 80 * time.Millisecond
 )
 
 // A connection that owes answers and has been without a word for longer than answers take gets no more calls:
@@ -157,7 +157,7 @@
 // not only just now, since servers close some right behind an answer. The caller holds mu.
 func (cn *conn) sure() bool {
 	age := time.Since(cn.heard)
-	return !cn.busy() && age >= settled && age <= fresh
+	return !cn.busy() && age >= settled && age <= cn.l.opt.Fresh
 }
 
 func (cn *conn) busy() bool { return len(cn.calls)+len(cn.probes)+len(cn.queue)+len(cn.cancels) > 0 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -17,6 +17,7 @@
 	Conns          int           // connections held at most; 0: no bound
 	Idle           time.Duration // record servers close connections idle for so long
 	ConnectTimeout time.Duration
+	Fresh          time.Duration // how long after a word a connection is sure to live; 0: 80 ms
 }
 
 // Link is the link to all record servers.
@@ -32,6 +33,9 @@
 // New makes a link whose connections end with ctx.
 func New(ctx context.Context, opt Options) *Link {
 	opt.Streams = max(opt.Streams, 1)
+	if opt.Fresh == 0 {
+		opt.Fresh = freshly
+	}
 	return &Link{opt: opt, ctx: ctx, conns: map[string][]*conn{}}
 }
 
@@ -88,7 +92,7 @@
 		if cn.retired || len(cn.calls) >= l.opt.Streams || cn.had(j.id) || cn.silent(l.patience()) {
 			continue
 		}
-		if !cn.busy() && time.Since(cn.heard) > fresh {
+		if !cn.busy() && time.Since(cn.heard) > l.opt.Fresh {
 			rested = cn
 		}
 		suits := !cn.reserved()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -273,7 +273,7 @@
 // What ends a connection must not fail parts that cannot be sent again: they go alone, by a connection that spoke
 // a moment ago, else by a new one. One that has rested may be gone, and makes room for the new one.
 func TestUnsafePartsGoAloneBySureConnections(t *testing.T) {
-	r := newRig(t, upstream.Options{Streams: 9, Idle: time.Minute, ConnectTimeout: time.Second})
+	r := newRig(t, upstream.Options{Streams: 9, Idle: time.Minute, ConnectTimeout: time.Second, Fresh: time.Second})
 	r.do(send(r.ask("safe")))
 	first := r.accept()
 	first.gets('S', "safe.0")
@@ -289,7 +289,7 @@
 	second.gets('S', "soon.0")
 	second.sends('R', "soon.0 done 1 -\nv")
 	<-r.ended
-	time.Sleep(150 * time.Millisecond)
+	time.Sleep(1100 * time.Millisecond)
 	r.do(send(r.askOf(1, "later")))
 	r.accept().gets('S', "later.0")
 	_, err := second.Read(make([]byte, 1))
