Refuse header names that are no token, and lines that end in a bare line feed

A head of bare line feeds was read up to its first empty line and the rest of it dropped. Now both get a 400 and are never run.

--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -82,6 +82,17 @@
 	if end > maxHead {
 		return nil, &Error{431, "the header is too long"}
 	}
+	// Guards against a second request hidden in a body: a name such as "Transfer-Encoding " and lines that end
+	// in a bare line feed are read by some and not by others.
+	for line := range bytes.Lines(text[:end+2]) {
+		if !bytes.HasSuffix(line, []byte("\r\n")) {
+			return nil, malformed("header: a line ends without a carriage return")
+		}
+		name, _, colon := bytes.Cut(line, []byte{':'})
+		if colon && bytes.ContainsAny(name, " \t") && &line[0] != &text[0] { // the start line has no name
+			return nil, malformed("header: the name %q is no token", name)
+		}
+	}
 	in := textproto.NewReader(bufio.NewReaderSize(bytes.NewReader(text[:end+4]), 512))
 	line, err := in.ReadLine()
 	if err != nil {
