Give each server of a large fleet room for a connection; no second try at one just asked

Lines at fault: upstream.pick (no connection is closed for another), enqueue (its own lack told against the server), the shares in config (fitted to a dozen servers), draw (second round). Now servers have up to 9/8 of the cells in descriptors, half of all at most, and clients the rest; a connection on which nothing is out makes room, first one to a server that leaves; the lack of a descriptor is NotSent; a part asks the same server again after 20 ms at the soonest.

Tests: one for each of the four, each fails without its part.

--- a/internal/broker/call.go
+++ b/internal/broker/call.go
@@ -15,6 +15,9 @@
 	ready    bool        // the loop's
 }
 
+// Leaving tells that the server drains or is gone, or that its address has changed.
+func (s *Server) Leaving() bool { return s.leaving.Load() }
+
 // Reply is how a call ended, as the link saw it.
 type Reply struct {
 	Status cloverhook.Status
@@ -50,7 +53,7 @@
 // the call is over, its time is up, or its server drains or is gone. Guards against sends that have waited
 // for a connection longer than the rules allow. What ended here is told to the core.
 func (c *Call) Begin() bool {
-	if c.Server.leaving.Load() || !time.Now().Before(c.Deadline) {
+	if c.Server.Leaving() || !time.Now().Before(c.Deadline) {
 		c.Done(Reply{Status: cloverhook.NotSent, Load: cloverhook.NoLoad})
 		return false
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -51,9 +51,11 @@
 	defaultSockets  = 1024
 	leastSockets    = 64
 
-	clientShare = 1. / 2 // of the descriptors
 	idleShare   = 1. / 6 // of the descriptors: half of what clients hold at most for requests
-	serverShare = 3. / 8 // of the descriptors; the rest is for the watch, the listener and what just closes
+	spareShare  = 1. / 8 // of the descriptors, for the watch, the listener and what just closes
+	serverShare = 3. / 8 // of the descriptors at least; clients have the rest
+	serverMost  = 1. / 2 // of the descriptors, where there are more servers than that
+	serverConns = 9. / 8 // of the cells: a server has one, and parts that must not run twice go alone
 	bufferShare = 1. / 8 // of the memory
 )
 
@@ -158,12 +160,14 @@
 			return nil, bad("limits.sockets", "%d is too little, at least %d", *n, leastSockets)
 		}
 	}
-	c.ClientConns, c.ServerConns = int(clientShare*float64(c.Sockets)), int(serverShare*float64(c.Sockets))
-	c.IdleConns = int(idleShare * float64(c.Sockets))
 	c.Buffers = int(bufferShare * float64(c.MemoryMB<<20))
 	if err := c.settings(f.Settings); err != nil {
 		return nil, err
 	}
+	// A query may ask all servers at once. Guards against a fleet where some stay without a connection.
+	all := float64(c.Sockets)
+	c.ServerConns = int(min(max(serverShare*all, serverConns*float64(c.Settings.Cells)), serverMost*all))
+	c.ClientConns, c.IdleConns = int((1-spareShare)*all)-c.ServerConns, int(idleShare*all)
 	if f.Known != nil {
 		if c.Known, err = c.Names.List(*f.Known); err != nil {
 			return nil, bad("known", "%v", err)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -45,6 +45,15 @@
 	require.Equal(t, []time.Duration{2 * time.Second}, c.Patience())
 }
 
+// Where there are many servers, each can have a connection, as far as descriptors go; clients have what is left.
+func TestDescriptorsAreSharedOutByTheFleet(t *testing.T) {
+	for cells, want := range map[string][]int{"4": {256, 192}, "200": {223, 225}, "999": {192, 256}} {
+		c, err := load(t, strings.Replace(good, `"cells":4`, `"cells":`+cells, 1), nil)
+		require.NoError(t, err)
+		require.Equal(t, want, []int{c.ClientConns, c.ServerConns}, cells)
+	}
+}
+
 // A file that is replaced moves discovery, though the environment named it at the start; a bad one changes
 // nothing, and its key is named.
 func TestReload(t *testing.T) {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -59,11 +59,12 @@
 type conn struct {
 	l       *Link
 	addr    string
-	sock    net.Conn // nil until it is up
-	retired bool     // takes nothing new
-	broken  error    // why it ended
-	queue   []*job   // to be written, in order
-	cancels []string // ids for which a C is to be written
+	server  *broker.Server // as first asked there
+	sock    net.Conn       // nil until it is up
+	retired bool           // takes nothing new
+	broken  error          // why it ended
+	queue   []*job         // to be written, in order
+	cancels []string       // ids for which a C is to be written
 	calls   map[string]*job
 	stale   map[string]bool // written, then cancelled, and unanswered so far
 	done    map[string]bool // answered lately
@@ -77,9 +78,9 @@
 
 func partID(c *broker.Call) string { return frame.PartID(c.Query, c.Shard) }
 
-func newConn(l *Link, addr string) *conn {
+func newConn(l *Link, addr string, server *broker.Server) *conn {
 	return &conn{
-		l: l, addr: addr, calls: map[string]*job{}, stale: map[string]bool{},
+		l: l, addr: addr, server: server, calls: map[string]*job{}, stale: map[string]bool{},
 		done: map[string]bool{}, wake: make(chan struct{}, 1),
 	}
 }
@@ -229,7 +230,7 @@
 	for _, j := range cn.queue {
 		if j.state == jobQueued && errors.Is(err, errSpoilt) { // the server lives, and has not heard of it
 			delete(cn.calls, j.id)
-			cn.l.enqueue(cn.addr, j)
+			cn.l.enqueue(cn.addr, cn.server, j)
 			continue
 		}
 		cn.end(j, cloverhook.Unreachable)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -43,14 +43,14 @@
 func (l *Link) Send(c *broker.Call) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.enqueue(c.Addr, &job{call: c, id: partID(c)})
+	l.enqueue(c.Addr, c.Server, &job{call: c, id: partID(c)})
 }
 
 // Probe asks a server how it is, on a connection like a call's.
 func (l *Link) Probe(p *broker.Probe) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.enqueue(p.Addr, &job{probe: p})
+	l.enqueue(p.Addr, p.Server, &job{probe: p})
 }
 
 // Cancel takes a call off its connection. If its frame may have been written, the server is told.
@@ -67,16 +67,16 @@
 }
 
 // enqueue puts a job on a connection. The caller holds mu.
-func (l *Link) enqueue(addr string, j *job) {
-	if cn := l.pick(addr, j); cn != nil {
+func (l *Link) enqueue(addr string, server *broker.Server, j *job) {
+	if cn := l.pick(addr, server, j); cn != nil {
 		cn.enqueue(j)
 		return
 	}
-	// No descriptor is left for it, so nothing can have run.
+	// No descriptor is left for it, so nothing can have run; and it tells nothing of the server.
 	if j.probe != nil {
-		j.probe.Done(unsent(cloverhook.Unreachable))
+		j.probe.Done(unsent(cloverhook.NotSent))
 	} else {
-		j.call.Done(unsent(cloverhook.Unreachable))
+		j.call.Done(unsent(cloverhook.NotSent))
 	}
 }
 
@@ -84,10 +84,10 @@
 // attempt never shares a connection with an earlier one whose answer may still come, so that an R names one
 // attempt only. A part that must not run twice shares with no other: an answer that is spoilt makes its
 // connection useless for all that is out on it, and it could not be sent again.
-func (l *Link) pick(addr string, j *job) *conn {
+func (l *Link) pick(addr string, server *broker.Server, j *job) *conn {
 	full := l.opt.Conns > 0 && l.held >= l.opt.Conns
 	unsafe := j.call != nil && j.call.Unsafe
-	var best, rested *conn
+	var best, other, rested *conn
 	for _, cn := range l.conns[addr] {
 		if cn.retired || len(cn.calls) >= l.opt.Streams || cn.had(j.id) || cn.silent(l.patience()) {
 			continue
@@ -99,23 +99,50 @@
 		if unsafe {
 			suits = cn.sure()
 		}
-		if (suits || full) && (best == nil || cn.heard.After(best.heard)) {
+		if suits && (best == nil || cn.heard.After(best.heard)) {
 			best = cn
 		}
+		if other == nil || cn.heard.After(other.heard) {
+			other = cn
+		}
 	}
-	if best != nil || full {
+	if best != nil {
 		return best
 	}
 	if unsafe && rested != nil && len(l.conns[addr]) > 1 {
 		rested.fail(errIdle) // few connections: the new one takes its place
+	} else if full && !l.makeRoom() {
+		return other // any connection is better than none
 	}
-	cn := newConn(l, addr)
+	cn := newConn(l, addr, server)
 	l.conns[addr] = append(l.conns[addr], cn)
 	l.held++
 	go cn.run()
 	return cn
 }
 
+// makeRoom closes a connection on which nothing is out: one to a server that is gone or drains, else any. Guards
+// against a fleet of as many servers as descriptors: those that came late were not reached at all. Not the one that
+// rested longest: a query of many parts goes over all servers, and would close just what its next parts need.
+// The caller holds mu.
+func (l *Link) makeRoom() bool {
+	var spare *conn
+	for _, conns := range l.conns { // in no order
+		for _, cn := range conns {
+			if cn.sock != nil && !cn.busy() && (spare == nil || cn.server.Leaving()) {
+				spare = cn
+			}
+		}
+		if spare != nil && spare.server.Leaving() {
+			break
+		}
+	}
+	if spare != nil {
+		spare.fail(errIdle)
+	}
+	return spare != nil
+}
+
 // answered books how long an answer took, and patience is how long none may come before a connection is taken
 // for silent. The caller holds mu.
 func (l *Link) answered(took time.Duration) {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -302,9 +302,29 @@
 	p := r.accept()
 	p.gets('S', "a.0")
 	r.do(send(r.ask("b")))
-	require.Equal(t, cloverhook.Unreachable, (<-r.ended).Status)
+	require.Equal(t, cloverhook.NotSent, (<-r.ended).Status) // it tells nothing of the server
 	p.sends('R', "a.0 done 1 -\nv")
 	require.Equal(t, cloverhook.OK, (<-r.ended).Status)
-	r.do(send(r.askOf(1, "c"))) // any connection is better than none
+	r.do(send(r.ask("c")))
 	p.gets('S', "c.0")
 }
+
+// Connections that rest, as those to servers that are gone, make room for one to a server that has none.
+func TestARestingConnectionMakesRoomForAnother(t *testing.T) {
+	r := newRig(t, upstream.Options{Streams: 1, Conns: 1, Idle: time.Minute, ConnectTimeout: time.Second})
+	r.do(send(r.ask("a")))
+	p := r.accept()
+	p.gets('S', "a.0")
+	p.sends('R', "a.0 done 1 -\nv")
+	<-r.ended
+	next, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer next.Close()
+	r.list.Servers[0] = broker.ListEntry{Server: cloverhook.Server{ID: "s1"}, Addr: next.Addr().String()}
+	r.b.Update(r.list)
+	r.l = next
+	r.do(cloverhook.Send{ID: r.ask("b"), Server: "s1"})
+	r.accept().gets('S', "b.0")
+	_, err = p.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+}
--- a/policy.go
+++ b/policy.go
@@ -508,8 +508,8 @@
 	var best *server
 	for _, again := range []bool{false, true} {
 		p.holders(pt.Shard, func(s *server) {
-			tried, live := pt.tried(s)
-			if !s.ready() || live || tried && !again || !p.coldRoom(s) {
+			tried, just := pt.tried(s, p.now)
+			if !s.ready() || just || tried && !again || !p.coldRoom(s) {
 				return
 			}
 			if s.turn != p.turn {
@@ -526,11 +526,11 @@
 	return best
 }
 
-func (pt *part) tried(s *server) (tried, live bool) {
+// tried tells of a part's attempts at a server, and whether one is out or just was: it may refuse at once.
+func (pt *part) tried(s *server, now float64) (tried, just bool) {
 	for _, a := range pt.attempts {
-		if a.srv == s {
-			tried, live = true, live || a.live
-		}
+		tried = tried || a.srv == s
+		just = just || a.srv == s && (a.live || now < a.sentAt+holdPoll)
 	}
 	return
 }
--- a/rules_test.go
+++ b/rules_test.go
@@ -479,9 +479,18 @@
 		_, ev := r.query(0, 1)
 		queue := sends(r.handle(ev...))
 		var order []string
+		asked := map[string]float64{}
 		for n := 0; len(queue) > 0; n++ {
-			order = append(order, queue[0].Server)
-			queue = sends(r.at(r.now+0.001, ended(queue[0].ID, n, queue[0].Server, cloverhook.Error, 0)))
+			last := queue[0]
+			// One that failed at once is not asked again at once: that would use up the attempts in a moment.
+			if r.now < asked[last.Server]+0.02 {
+				t.Fatalf("attempt %d goes to a replica that was asked just now", n)
+			}
+			order, asked[last.Server] = append(order, last.Server), r.now
+			queue = sends(r.at(r.now+0.001, ended(last.ID, n, last.Server, cloverhook.Error, 0)))
+			if len(queue) == 0 {
+				queue = sends(r.at(r.now + 0.02))
+			}
 		}
 		if len(order) != 5 {
 			t.Fatalf("%d attempts, want the limit of 5", len(order))
