Let repeats that are late for their aim yield to first tries where anything is scarce

Of 2,650 tries of class 0 (objective 0.38 s, deadline 1.34 s) 850 came with 0.84 s left or less, that is half a second or more after the client's first try: TAKE class=0 parts=40 patience=457ms (first tries: patience=1.047s) They earn nothing any more (lateWorth 0), and each costs 30 to 40 parts. A broker that knows of no jam lets them in; 300 brokers keep the jam alive so. With two or four brokers the one that refused meets them again. Line at fault: doomed() took the aim of each try from its own arrival. Now onQuery tells a late repeat by its patience: less than others of its class give, and less than the deadline without the aim. Such a query gets 0.3 of the margin, so where nothing is scarce it is served as before.

Test: TestLateRepeatsYieldToFirstTries.

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -58,6 +58,40 @@
 	}
 }
 
+// A client that was refused comes back to a broker that knows nothing of it, when its aim has passed. Served, it
+// earns nothing and takes the room of a first try: hundreds of brokers so kept a jam alive. It waits for less than
+// first tries do, which tells it. Where nothing is scarce it is served all the same.
+func TestLateRepeatsYieldToFirstTries(t *testing.T) {
+	s := settings()
+	s.Classes[0] = cloverhook.Class{Aim: 0.4, Deadline: 1.4, Need: 1, Floor: 1, Worth: 1}
+	for _, c := range []struct {
+		pace, patience float64
+		served         bool
+	}{{0.12, 1.1, true}, {0.12, 0.5, false}, {0.01, 0.5, true}} {
+		r := newRig(t, s, servers(2)...)
+		served := 0
+		for i := range 200 {
+			_, ev := r.query(0, 1)
+			q := ev[0].(cloverhook.Query)
+			if q.Deadline = r.now + 1.1; i >= 100 {
+				q.Deadline = r.now + c.patience
+			}
+			ev[0] = q
+			for _, snd := range sends(r.at(r.now+0.1, ev...)) {
+				r.now += c.pace
+				r.handle(ended(snd.ID, 0, snd.Server, cloverhook.OK, c.pace))
+				if i >= 100 {
+					served++
+				}
+			}
+		}
+		if got := served > 50; got != c.served {
+			t.Errorf("parts take %g s, clients wait %g s: %d of 100 served, want most: %v", c.pace, c.patience,
+				served, c.served)
+		}
+	}
+}
+
 func BenchmarkWideQuery(b *testing.B) {
 	p, query := fleetRig(b, 200)
 	now := 101.0
--- a/policy.go
+++ b/policy.go
@@ -50,7 +50,6 @@
 	key  float64 // exponential variate / weight in that turn
 }
 
-// mark is an averaged share and when it was so.
 type mark struct{ share, at float64 }
 
 type attempt struct {
@@ -78,9 +77,9 @@
 	step        int
 	whole       bool // the first step's answer was whole
 	arrived     float64
-	aim         float64 // when its full worth ends
-	end         float64 // when all its worth, or the client's patience, ends
+	aim, end    float64 // when its full worth ends, and when all its worth, or the client's patience
 	ended, sent bool
+	late        bool   // its aim has passed since its client's first try
 	resets      int    // attempts whose server broke off
 	print       uint64 // hash of its class, shards and weights: a client's repeat has the same
 }
@@ -100,7 +99,6 @@
 	queries map[int64]*query     // looked up, never iterated
 	byQuery map[RequestID]*query // looked up, never iterated
 	open    []*query
-	started bool
 
 	probeAt, rebuildAt float64 // next round of probes, next rebuild
 	watchAt            float64 // when to ask for the list again; +Inf: subscribed or not needed
@@ -111,6 +109,7 @@
 
 	latency                []ring    // latest latencies by class
 	waryUntil              []float64 // by class: until then one part of a query goes ahead of the others
+	waits                  []float64 // by class: the longest that a client waits for one try
 	leftAges               ring      // ages of the latest queries whose clients left
 	leaving                float64   // averaged share of queries whose clients leave
 	taken, extra           []float64 // times of parts taken and of further attempts, for the budget
@@ -126,21 +125,19 @@
 
 // New returns the decisions of one mixer. Equal settings, seeds and events give equal actions.
 func New(s Settings, seed uint64) *Policy {
-	return &Policy{set: s, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), armed: math.Inf(1),
+	p := &Policy{set: s, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), armed: math.Inf(1),
 		byID: map[string]*server{}, parts: map[RequestID]*part{}, queries: map[int64]*query{},
-		byQuery: map[RequestID]*query{}, watchAt: math.Inf(1), meanFitness: 1,
-		latency: make([]ring, len(s.Classes)), waryUntil: make([]float64, len(s.Classes))}
+		byQuery: map[RequestID]*query{}, meanFitness: 1, latency: make([]ring, len(s.Classes)),
+		waryUntil: make([]float64, len(s.Classes)), waits: make([]float64, len(s.Classes))}
+	if !s.AskForList {
+		p.watchAt = math.Inf(1)
+	}
+	return p
 }
 
 // Handle takes the events of one moment in their order and returns what to do, in order.
 func (p *Policy) Handle(now float64, events []Event) []Action {
 	p.now, p.out, p.wake = now, nil, math.Inf(1)
-	if !p.started {
-		p.started, p.probeAt, p.rebuildAt, p.rateAt = true, now, now, now
-		if p.set.AskForList {
-			p.watchAt = now
-		}
-	}
 	p.survey()
 	for _, e := range events {
 		switch e := e.(type) {
@@ -301,13 +298,11 @@
 	}
 }
 
-// upkeep keeps the table, the probes that feed it, and the subscription to the list.
 func (p *Policy) upkeep() {
 	if p.now >= p.watchAt {
 		p.do(Watch{On: true})
 		p.watchAt = p.now + math.Max(p.set.AskWithin/2, 1) // in case no reply comes at all
 	}
-	p.wakeAt(p.watchAt)
 	if p.now >= p.probeAt {
 		p.probeAt, p.rebuildAt = p.now+rebuildEvery, p.now
 		if p.set.ReportMode == ReportPull && p.set.MayProbe {
@@ -319,12 +314,11 @@
 			}
 		}
 	}
-	p.wakeAt(p.probeAt)
 	if p.now >= p.rebuildAt {
 		p.rebuild()
 		p.rebuildAt = math.Inf(1)
 	}
-	p.wakeAt(p.rebuildAt)
+	p.wakeAt(min(p.watchAt, p.probeAt, p.rebuildAt))
 }
 
 // queueOf is the reported queue or parts in flight, else this mixer's own parts in flight.
@@ -556,6 +550,10 @@
 	if p.leaving > leaveMany && patience > usual {
 		q.aim = math.Min(q.aim, p.now+patience-p.lead())
 	}
+	// A client that waits for less than others has asked before: what is left is of the time for all tries.
+	wait := math.Min(e.Deadline-p.now, c.Deadline)
+	p.waits[e.Class] = math.Max(p.waits[e.Class], wait)
+	q.late = wait < waitsLess*p.waits[e.Class] && c.Deadline-wait > c.Aim
 	p.queries[e.Number], p.byQuery[e.ID] = q, q
 	p.open = append(p.open, q)
 }
@@ -612,7 +610,6 @@
 	until float64
 }
 
-// judge learns from an outcome.
 func (p *Policy) judge(a *attempt, pt *part, e Ended) {
 	s := a.srv
 	p.mark(s, e.Status)
@@ -682,7 +679,6 @@
 	delete(p.byQuery, q.ID)
 }
 
-// release ends the parts of a query's present step.
 func (p *Policy) release(q *query) {
 	for _, pt := range q.parts {
 		pt.over = true
@@ -799,8 +795,8 @@
 
 // doomed tells at a query's arrival that it would not be done within its aim, so that it is better refused
 // before it costs work. The less is seen of each server, the wider the margin. A few parts are let through,
-// to learn of the wait's end. Where enough other parts make an answer, only the doomed ones are left out.
-// Queries worth more a part have a wider margin. It could harm the worst class where those are many.
+// to learn of its end. Where enough other parts make an answer, only the doomed ones are left out. Late
+// repeats yield. Queries worth more a part have a wider margin. It may harm a worst class of many such.
 func (p *Policy) doomed(q *query) bool {
 	left, limit := 0.0, (admitStale+admitFresh/p.memory)*(q.aim-p.now)
 	if parts := q.class.Need * float64(len(q.parts)); !p.set.WorthByWork && q.class.Worth > 0 {
@@ -808,6 +804,9 @@
 		merit := q.class.Worth / parts * p.partsAsked / p.worthAsked
 		limit = math.Min(limit*math.Max(math.Sqrt(merit), meritLeast), q.aim-p.now)
 	}
+	if q.late {
+		limit *= yieldShare
+	}
 	for _, pt := range q.parts {
 		pt.dropped = p.wait(pt.Shard) > limit && p.rng.Float64() >= trialShare
 		if !pt.dropped {
@@ -824,6 +823,8 @@
 	waryFor      = 30.0 // seconds: at size a mixer meets such a query only once in so long
 	scoutShare   = 0.3  // of the time to the aim that others wait for the part ahead
 	meritLeast   = 0.7  // a narrower margin would refuse what an idle fleet serves at once
+	yieldShare   = 0.3  // of that margin, for queries whose aim has passed: an idle fleet still answers them
+	waitsLess    = 0.95 // clients count the time left themselves
 	trialShare   = 0.03 // of the parts too long in waiting that are let through
 	ghostSpan    = 3.0  // seconds that a part given up counts without news: about a full queue's length
 	paceSpan     = 2.0  // seconds of answers that make the fleet's pace
@@ -847,10 +848,9 @@
 		if !a.live && !a.mayRun {
 			continue
 		}
-		if a.live && !p.set.MayCopy || pt.q.class.Repeat == RepeatUnsafe {
-			return false
-		}
-		if pt.q.class.Repeat == RepeatKeyed && p.now > a.sentAt+pt.q.class.RepeatWindow-edgeSlack {
+		keyed := pt.q.class.Repeat == RepeatKeyed
+		if a.live && !p.set.MayCopy || pt.q.class.Repeat == RepeatUnsafe ||
+			keyed && p.now > a.sentAt+pt.q.class.RepeatWindow-edgeSlack {
 			return false
 		}
 	}
