Start watches of the server list after random waits that grow with the fleet

Fleet-wide after the release: brokers that knew warm=60 servers at 23 s (there were 60 minus 17 replaced), 20 to 39 parts in 2 s to each server that was gone, and 5 to 15 parts in 2 s to each new one, where warm ones got 100 to 180. Ruled out: the room for cold servers (0.6 a broker and window would be 48 for the fleet; they were not known), slow links, the cost of lists. Lines at fault: Watcher.Run waited 0, 0.1, 0.2 ... 1 s, the same for all.

Now internal/backoff draws each wait: the first within 25 ms times peersTotal, then doubling. A size that is absent or absurd counts as 100 and is logged.

--- a/cmd/mothrouter/main.go
+++ b/cmd/mothrouter/main.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"cloverhook"
+	"cloverhook/internal/backoff"
 	"cloverhook/internal/broker"
 	"cloverhook/internal/config"
 	"cloverhook/internal/discovery"
@@ -75,8 +76,13 @@
 		cloverhook.New(cfg.Settings, cfg.Seed), link)
 	go core.Run(ctx)
 	core.Update(cfg.Known)
+	fleet, told := backoff.Callers(cfg.Settings.Mixers)
+	if !told {
+		log.Warn("settings.peersTotal: no size that a fleet can have", "is", cfg.Settings.Mixers, "taken for", fleet)
+	}
 	watcher := &discovery.Watcher{
 		Addr: cfg.Discovery, Names: cfg.Names, Since: cfg.Version, Update: core.Update, Log: log,
+		Waits: backoff.New(fleet, cfg.Seed),
 	}
 	go watcher.Run(ctx)
 	go reload(hup, cfg, watcher, log)
--- /dev/null
+++ b/internal/backoff/backoff.go
@@ -0,0 +1,72 @@
+// Package backoff decides when a caller of a shared service tries again. It does no I/O and keeps no clock.
+//
+// It is built for fleets: what one caller does at once is harmless, and overbooks the service when hundreds
+// do it in the same millisecond, as they do when they were started, or lost their connection, together. So
+// every wait is drawn at random, and the first ones and the longest grow with the number of callers.
+package backoff
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	base = 100 * time.Millisecond // the shortest wait after a failure, but for its random part
+
+	share     = 25 * time.Millisecond // of the service's time that one caller's call may take
+	firstMost = 4 * time.Second       // the first calls of all are spread over so long at most
+	longTimes = 4                     // the longest wait, in times that it takes to serve all callers once
+	longLeast = time.Second           // but at least so long
+	longMost  = 5 * time.Minute       // and at most
+
+	// DefaultCallers is what a fleet counts that does not say its size, or says an absurd one.
+	DefaultCallers = 100
+	// MostCallers is the largest fleet that is believed.
+	MostCallers = 100_000
+)
+
+// Callers returns a fleet's size as far as it can be believed, and whether it could.
+func Callers(n int) (int, bool) {
+	if n < 1 || n > MostCallers {
+		return DefaultCallers, false
+	}
+	return n, true
+}
+
+// Backoff is one caller's waits. Make it with New.
+type Backoff struct {
+	rng     *rand.Rand
+	first   time.Duration // the first call, and the first after a success, waits for less than this
+	longest time.Duration
+	ceiling time.Duration // of the wait before; 0: the last call succeeded, or there was none
+}
+
+// New returns the waits of one of so many callers. Equal seeds give equal waits: callers need different ones.
+func New(callers int, seed uint64) *Backoff {
+	callers, _ = Callers(callers)
+	all := time.Duration(callers) * share
+	return &Backoff{
+		rng:     rand.New(rand.NewPCG(seed, 0xbb67ae8584caa73b)),
+		first:   min(all, firstMost),
+		longest: min(max(longTimes*all, longLeast), longMost),
+	}
+}
+
+// Next is how long to wait before the next call. The first wait of all may be nothing. Each later one is drawn
+// from the upper half of a span that doubles: whatever the service bears, callers that fail together drift apart
+// and ask less and less, until it can serve them one by one.
+func (b *Backoff) Next() time.Duration {
+	if b.ceiling == 0 {
+		b.ceiling = max(b.first/2, base/2)
+		return b.draw(0, b.first)
+	}
+	b.ceiling = min(2*b.ceiling, b.longest)
+	return b.draw(b.ceiling/2, b.ceiling)
+}
+
+func (b *Backoff) draw(from, to time.Duration) time.Duration {
+	return from + time.Duration(b.rng.Int64N(int64(to-from)))
+}
+
+// Succeeded tells that a call was served: the next wait is a first one again.
+func (b *Backoff) Succeeded() { b.ceiling = 0 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -7,21 +7,21 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
 	"time"
 
 	"cloverhook"
+	"cloverhook/internal/backoff"
 	"cloverhook/internal/broker"
 	"cloverhook/internal/httpwire"
 )
 
 const (
-	silence     = 5 * time.Second // an empty line comes every 2 s: without any, the watch may be broken
-	dialLimit   = time.Second
-	backOffFrom = 100 * time.Millisecond
-	backOffMost = time.Second // the agent stands on this machine; news count as told after seconds
+	silence   = 5 * time.Second // an empty line comes every 2 s: without any, the watch may be broken
+	dialLimit = time.Second
 )
 
 // Names translates the names of zones and kinds to their numbers in the settings.
@@ -82,6 +82,8 @@
 	Since  int64 // version of the list as known
 	Update func(broker.List)
 	Log    *slog.Logger
+	// Waits decides when a watch is started. All brokers share one discovery.
+	Waits *backoff.Backoff
 
 	mu   sync.Mutex // guards addr and move
 	addr string
@@ -112,30 +114,31 @@
 	return ctx, w.addr
 }
 
-// Run follows the list until ctx ends. When a watch breaks it starts another from the version last heard,
-// at once the first time, then less and less often: a directory that is down is not helped by more calls.
+// Run follows the list until ctx ends. When a watch breaks it starts another from the version last heard, after
+// a wait that is drawn at random even the first time: a directory that is down or overbooked is not helped by all
+// brokers calling in step.
 func (w *Watcher) Run(ctx context.Context) {
-	wait := time.Duration(0)
+	if w.Waits == nil {
+		w.Waits = backoff.New(1, rand.Uint64())
+	}
 	for ctx.Err() == nil {
 		turn, addr := w.turn(ctx)
-		heard, err := w.watch(turn, addr)
-		if heard {
-			wait = 0
+		t := time.NewTimer(w.Waits.Next())
+		select {
+		case <-t.C:
+		case <-turn.Done():
+			t.Stop()
 		}
+		heard, err := w.watch(turn, addr)
 		if ctx.Err() != nil {
 			return
 		}
+		if heard || turn.Err() != nil { // moved: the new address has not failed yet
+			w.Waits.Succeeded()
+		}
 		if turn.Err() == nil {
 			w.Log.Info("the watch of the server list ended", "err", err, "since", w.Since)
 		}
-		t := time.NewTimer(wait)
-		select {
-		case <-t.C:
-			wait = min(max(2*wait, backOffFrom), backOffMost)
-		case <-turn.Done(): // moved: the new address has not failed yet
-			t.Stop()
-			wait = 0
-		}
 	}
 }
 
