--- a/api.go
+++ b/api.go
@@ -188,6 +188,22 @@
 		Latency float64
 		Load    Load
 	}
+	// Heard is hearsay of a server: what another loop of the same process saw of it. News of the mixer's own
+	// that is not older wins over it.
+	Heard struct {
+		Server string
+		At     float64 // when it was so
+		Failed float64 // share of failed attempts, 0 to 1
+		Weight float64 // how far the mixer's own mark moves there, 0 to 1
+		Load   Load
+	}
+	// Room tells how many more parts may go to a cold server until a time. A mixer that hears so of a server
+	// holds a share of a common budget and guesses none of its own.
+	Room struct {
+		Server string
+		Parts  int
+		Until  float64
+	}
 	// Timer is a timer that fell due.
 	Timer struct{ Token uint64 }
 	// PeerMessage is a message from another mixer.
@@ -204,6 +220,8 @@
 func (Ended) event()       {}
 func (ClientGone) event()  {}
 func (Probed) event()      {}
+func (Heard) event()       {}
+func (Room) event()        {}
 func (Timer) event()       {}
 func (PeerMessage) event() {}
 
--- a/cmd/mothrouter/exchange_test.go
+++ b/cmd/mothrouter/exchange_test.go
@@ -64,6 +64,7 @@
 	config string // path of its file
 	log    log
 	seen   func(peer string, sent bool, message string) // told of each message
+	flags  []string
 }
 
 // log is what the program writes.
@@ -276,7 +277,7 @@
 				names = append(names, w)
 			}
 		}
-		p.start(names, openCap, sockets, idle)
+		p.start(names, openCap, sockets, idle, p.flags...)
 	case peer == "crowd": // so many clients that connect and say nothing
 		n, _ := strconv.Atoi(words[1])
 		for i := range n {
@@ -373,26 +374,28 @@
 	return steps, messages
 }
 
+// Each exchange is played against one loop and against several: what a front refuses and what a client is told must
+// not depend on the worker.
 func TestExchanges(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
 	require.NoError(t, err)
 	require.NotEmpty(t, files)
 	api := loadAPI(t)
-	for _, file := range files {
-		for _, bytewise := range []bool{false, true} {
-			name := strings.TrimSuffix(filepath.Base(file), ".txt")
-			if bytewise {
-				name += " byte by byte"
+	play := func(name, file string, bytewise bool, flags ...string) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newPlayer(t)
+			p.bytes, p.seen, p.flags = bytewise, api.checker(t), flags
+			steps, messages := steps(t, file)
+			for i, step := range steps {
+				p.play(step, messages[i])
 			}
-			t.Run(name, func(t *testing.T) {
-				t.Parallel()
-				p := newPlayer(t)
-				p.bytes, p.seen = bytewise, api.checker(t)
-				steps, messages := steps(t, file)
-				for i, step := range steps {
-					p.play(step, messages[i])
-				}
-			})
-		}
+		})
+	}
+	for _, file := range files {
+		name := strings.TrimSuffix(filepath.Base(file), ".txt")
+		play(name, file, false)
+		play(name+" byte by byte", file, true)
+		play(name+" on two cores", file, false, "-cores", "../../deploy/cores.toml")
 	}
 }
--- a/cmd/mothrouter/main.go
+++ b/cmd/mothrouter/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"log/slog"
@@ -20,6 +21,7 @@
 	"cloverhook/internal/backoff"
 	"cloverhook/internal/broker"
 	"cloverhook/internal/config"
+	"cloverhook/internal/cores"
 	"cloverhook/internal/discovery"
 	"cloverhook/internal/flight"
 	"cloverhook/internal/front"
@@ -34,18 +36,19 @@
 
 func main() {
 	flightFile := flag.String("flight", "", "`file` that switches Arrow Flight on, such as deploy/flight.toml")
+	coresFile := flag.String("cores", "", "`file` that switches several cores on, such as deploy/cores.toml")
 	flag.Parse()
 	if flag.NArg() > 0 {
 		flag.Usage()
 		os.Exit(2)
 	}
-	if err := run(os.Getenv, *flightFile); err != nil {
+	if err := run(os.Getenv, *flightFile, *coresFile); err != nil {
 		fmt.Fprintln(os.Stderr, "mothrouter:", err)
 		os.Exit(1)
 	}
 }
 
-func run(getenv func(string) string, flightFile string) error {
+func run(getenv func(string) string, flightFile, coresFile string) error {
 	// Before all else: a broker must not end because it was told of a new file.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
@@ -53,7 +56,13 @@
 	if err != nil {
 		return err
 	}
-	runtime.GOMAXPROCS(1) // a broker has one core
+	workers := 1
+	if coresFile != "" {
+		if workers, err = config.LoadCores(coresFile, cfg); err != nil {
+			return err
+		}
+	}
+	runtime.GOMAXPROCS(min(workers, runtime.NumCPU())) // a broker on the platform has one core
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB<<20)))
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("broker", cfg.Name)
 
@@ -72,8 +81,18 @@
 		}
 		link = mixed(ctx, cfg, partners, link)
 	}
-	core := broker.New(broker.Options{Settings: cfg.Settings, OpenCap: cfg.OpenCap, Log: log},
-		cloverhook.New(cfg.Settings, cfg.Seed), link)
+	var core core
+	var died <-chan struct{} // nil, which never speaks, with one loop: its panic ends the process
+	if coresFile == "" {
+		core = broker.New(broker.Options{Settings: cfg.Settings, OpenCap: cfg.OpenCap, Log: log},
+			cloverhook.New(cfg.Settings, cfg.Seed), link)
+	} else {
+		group := cores.New(cores.Options{
+			Workers: workers, Settings: cfg.Settings, OpenCap: cfg.OpenCap, Seed: cfg.Seed, Log: log,
+		}, link)
+		core, died = group, group.Failed()
+		log.Info("several cores", "workers", workers, "processors", runtime.NumCPU())
+	}
 	go core.Run(ctx)
 	core.Update(cfg.Known)
 	fleet, told := backoff.Callers(cfg.Settings.Mixers)
@@ -110,10 +129,13 @@
 	}
 	log.Info("serving", "listen", cfg.Listen, "servers", len(cfg.Known.Servers))
 
+	var why error
 	select {
 	case err := <-served:
 		return err
 	case <-term:
+	case <-died:
+		why = errors.New("a worker has died; what the others held was answered")
 	}
 	log.Info("ending")
 	wait := time.NewTimer(stillAccepts)
@@ -133,7 +155,15 @@
 	}
 	ends.Wait()
 	core.Drain(ctx)
-	return nil
+	return why
+}
+
+// core is one loop, or several.
+type core interface {
+	front.Core
+	Run(context.Context)
+	Update(broker.List)
+	Drain(context.Context)
 }
 
 // reload takes up the file again on each SIGHUP. A bad one changes nothing.
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -22,6 +22,16 @@
 	OpenCap  int           // queries and parts held at most; 0: no limit
 	Log      *slog.Logger  // nil: the default one
 	ProbeFor time.Duration // how long a probe's answer is waited for
+	Servers  *Servers      // shared with other loops, and told by whoever shares them; nil: its own
+	Open     Quota         // counts queries and parts for several loops together; nil: OpenCap alone counts
+}
+
+// Quota is a budget that several loops draw on.
+type Quota interface {
+	// Take takes n, all or nothing.
+	Take(n int) bool
+	// Give gives n back.
+	Give(n int)
 }
 
 // Client is a front's end of one query.
@@ -30,6 +40,9 @@
 	Finish(Result)
 }
 
+// Leaver is a Client that wants to know when its query is forgotten without an answer, since it has left.
+type Leaver interface{ Left() }
+
 // Link carries calls and probes to record servers. Its methods are called by the loop and must not block.
 type Link interface {
 	// Send starts a call. The link asks Call.Begin just before the first byte and tells the end by Call.Done.
@@ -57,9 +70,8 @@
 	queries map[cloverhook.RequestID]*query
 	parts   map[cloverhook.RequestID]*part
 	byName  map[string]*query
-	servers map[string]*Server
+	servers *Servers
 	timers  map[*time.Timer]struct{}
-	listed  bool
 	idle    []chan struct{} // closed once no query is held
 }
 
@@ -71,11 +83,15 @@
 	if opt.ProbeFor <= 0 {
 		opt.ProbeFor = 250 * time.Millisecond
 	}
+	servers := opt.Servers
+	if servers == nil {
+		servers = NewServers()
+	}
 	return &Broker{
 		opt: opt, decider: d, link: link, clock: newClock(), log: opt.Log,
 		inbox: inbox{wake: make(chan struct{}, 1)}, stopped: make(chan struct{}),
 		queries: map[cloverhook.RequestID]*query{}, parts: map[cloverhook.RequestID]*part{},
-		byName: map[string]*query{}, servers: map[string]*Server{}, timers: map[*time.Timer]struct{}{},
+		byName: map[string]*query{}, servers: servers, timers: map[*time.Timer]struct{}{},
 	}
 }
 
@@ -104,9 +120,10 @@
 // a lock can be stopped by the other. It is bounded by those who post: each call, timer, probe, list and
 // client connection has one event in it at most.
 type inbox struct {
-	mu    sync.Mutex
-	funcs []func()
-	wake  chan struct{}
+	mu     sync.Mutex
+	funcs  []func()
+	closed bool // its loop has died
+	wake   chan struct{}
 }
 
 func (i *inbox) take() []func() {
@@ -117,15 +134,26 @@
 	return funcs
 }
 
-// post has the loop run f.
-func (b *Broker) post(f func()) {
+// post has the loop run f. It returns false if the loop has died, and f is not run.
+func (b *Broker) post(f func()) bool {
 	b.inbox.mu.Lock()
-	b.inbox.funcs = append(b.inbox.funcs, f)
+	closed := b.inbox.closed
+	if !closed {
+		b.inbox.funcs = append(b.inbox.funcs, f)
+	}
 	b.inbox.mu.Unlock()
 	select {
 	case b.inbox.wake <- struct{}{}:
 	default:
 	}
+	return !closed
+}
+
+// Behind is how many events wait for the loop.
+func (b *Broker) Behind() int {
+	b.inbox.mu.Lock()
+	defer b.inbox.mu.Unlock()
+	return len(b.inbox.funcs)
 }
 
 // decide hands the batch to the Decider and carries out its actions. What an action brings about at once
@@ -202,7 +230,7 @@
 // Serving tells whether the broker knows record servers and so can serve.
 func (b *Broker) Serving() bool {
 	ready := make(chan bool, 1)
-	b.post(func() { ready <- b.listed })
+	b.post(func() { ready <- b.servers.Listed() })
 	select {
 	case r := <-ready:
 		return r
@@ -211,6 +239,28 @@
 	}
 }
 
+// Abort fails all that is held, for a loop that has died: its clients must not wait for nothing. It may be called
+// only once Run has ended.
+func (b *Broker) Abort() {
+	<-b.stopped
+	b.inbox.mu.Lock()
+	b.inbox.closed = true
+	b.inbox.mu.Unlock()
+	for _, f := range b.inbox.take() {
+		func() {
+			defer func() { _ = recover() }() // what killed the loop may stand in here as well
+			f()
+		}()
+	}
+	for _, q := range b.queries {
+		b.finish(q, Result{Outcome: Failed})
+	}
+	for _, c := range b.idle {
+		close(c)
+	}
+	b.idle = nil
+}
+
 // Drain waits until no query is held, or ctx ends.
 func (b *Broker) Drain(ctx context.Context) {
 	c := make(chan struct{})
--- a/internal/broker/call.go
+++ b/internal/broker/call.go
@@ -12,7 +12,6 @@
 	ID, Addr string
 	Cell     int
 	leaving  atomic.Bool // draining or gone; links read it
-	ready    bool        // the loop's
 }
 
 // Leaving tells that the server drains or is gone, or that its address has changed.
@@ -82,7 +81,7 @@
 	}
 	c := &Call{b: b, pt: pt, number: pt.attempts, sent: b.clock.now()}
 	pt.attempts++
-	s := b.servers[a.Server]
+	s := b.servers.get(a.Server)
 	if why := b.forbids(pt, s); why != "" {
 		b.log.Warn("a send was stopped", "why", why, "server", a.Server, "query", pt.q.req.ID)
 		b.tell(cloverhook.Ended{
@@ -116,7 +115,7 @@
 		return "the part has had all its attempts"
 	case pt.mayRun && pt.q.class.Repeat == cloverhook.RepeatUnsafe:
 		return "the part may have run and must not run twice"
-	case s == nil || !s.ready:
+	case s == nil || s.Leaving():
 		return "the server drains, is gone or was never listed"
 	case !holds(set, s.Cell, pt.Shard):
 		return "the server does not hold the shard"
@@ -190,8 +189,8 @@
 }
 
 func (b *Broker) probe(id string) {
-	s := b.servers[id]
-	if s == nil || !s.ready {
+	s := b.servers.get(id)
+	if s == nil || s.Leaving() {
 		return
 	}
 	p := &Probe{
--- a/internal/broker/list.go
+++ b/internal/broker/list.go
@@ -1,6 +1,10 @@
 package broker
 
-import "cloverhook"
+import (
+	"sync"
+
+	"cloverhook"
+)
 
 // ListEntry is one record server of the list.
 type ListEntry struct {
@@ -15,44 +19,86 @@
 	Servers []ListEntry
 }
 
-// Update hands news of the server list to the core, and returns once it has it.
+// Servers are the record servers as the list last told of them. Links and loops look at one object a server.
+// A process with one loop has its own; several loops share one, which is told before any of them: a loop that
+// is busy then must not delay what a drain forbids.
+type Servers struct {
+	mu     sync.RWMutex
+	byID   map[string]*Server
+	listed bool
+}
+
+// NewServers returns an empty list.
+func NewServers() *Servers { return &Servers{byID: map[string]*Server{}} }
+
+// Apply takes news of the list. From its return on nothing new is begun at a server that leaves.
+func (s *Servers) Apply(l List) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ready := map[string]bool{}
+	for id := range s.byID { // of a whole list, those that it lacks are gone
+		ready[id] = l.Mode != cloverhook.ListFull && l.Mode != cloverhook.ListCached
+	}
+	for _, n := range l.Servers {
+		old := s.byID[n.ID]
+		if old == nil || old.Addr != n.Addr || old.Cell != n.Cell {
+			if old != nil {
+				old.leaving.Store(true) // what waits for the old address must not go there
+			}
+			s.byID[n.ID] = &Server{ID: n.ID, Addr: n.Addr, Cell: n.Cell}
+		}
+		ready[n.ID] = n.State == cloverhook.Ready
+	}
+	for id, srv := range s.byID {
+		srv.leaving.Store(!ready[id])
+		if !ready[id] { // gets nothing new, so nothing needs to be known of it
+			delete(s.byID, id)
+		}
+		s.listed = s.listed || ready[id]
+	}
+}
+
+// get returns a server that may get new parts, or nil.
+func (s *Servers) get(id string) *Server {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.byID[id]
+}
+
+// Listed tells whether any server has been heard of.
+func (s *Servers) Listed() bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.listed
+}
+
+// Update hands news of the server list to the core, and returns once it has it. Where loops share their Servers,
+// whoever hands the list to all of them has applied it there before.
 func (b *Broker) Update(l List) {
+	select {
+	case <-b.Tell(l):
+	case <-b.stopped:
+	}
+}
+
+// Tell is Update without the wait: the channel is closed once the loop has the news.
+func (b *Broker) Tell(l List) <-chan struct{} {
 	taken := make(chan struct{})
 	b.post(func() {
-		b.update(l)
+		if b.opt.Servers == nil {
+			b.servers.Apply(l)
+		}
+		b.tell(l.Event())
 		close(taken)
 	})
-	select {
-	case <-taken:
-	case <-b.stopped:
-	}
+	return taken
 }
 
-func (b *Broker) update(l List) {
+// Event is the list in the Decider's terms.
+func (l List) Event() cloverhook.List {
 	e := cloverhook.List{Mode: l.Mode, Version: l.Version}
-	if l.Mode == cloverhook.ListFull || l.Mode == cloverhook.ListCached {
-		for _, s := range b.servers { // those that the list lacks are gone
-			s.ready = false
-		}
-	}
 	for _, n := range l.Servers {
 		e.Servers = append(e.Servers, n.Server)
-		s := b.servers[n.ID]
-		if s == nil || s.Addr != n.Addr {
-			if s != nil {
-				s.leaving.Store(true) // what waits for the old address must not go there
-			}
-			s = &Server{ID: n.ID, Addr: n.Addr}
-			b.servers[n.ID] = s
-		}
-		s.Cell, s.ready = n.Cell, n.State == cloverhook.Ready
-	}
-	for id, s := range b.servers {
-		s.leaving.Store(!s.ready)
-		if !s.ready { // gets nothing new, so nothing needs to be known of it
-			delete(b.servers, id)
-		}
-		b.listed = b.listed || s.ready
 	}
-	b.tell(e)
+	return e
 }
--- a/internal/broker/query.go
+++ b/internal/broker/query.go
@@ -59,7 +59,9 @@
 
 // Take hands a query to the core. The client hears of its end once, unless it leaves before.
 func (b *Broker) Take(r *Request, c Client) {
-	b.post(func() { b.take(r, c) })
+	if !b.post(func() { b.take(r, c) }) {
+		c.Finish(Result{Outcome: Failed})
+	}
 }
 
 // Leave tells that the client of a query has gone away.
@@ -67,6 +69,9 @@
 	b.post(func() {
 		if q := b.byName[r.ID]; q != nil && q.req == r {
 			b.forget(q)
+			if c, ok := q.client.(Leaver); ok {
+				c.Left()
+			}
 			b.tell(cloverhook.ClientGone{ID: q.id})
 		}
 	})
@@ -78,7 +83,8 @@
 		c.Finish(Result{Outcome: Duplicate})
 		return
 	}
-	if b.opt.OpenCap > 0 && b.open+1+len(r.Parts) > b.opt.OpenCap {
+	if b.opt.OpenCap > 0 && b.open+1+len(r.Parts) > b.opt.OpenCap ||
+		b.opt.Open != nil && !b.opt.Open.Take(1+len(r.Parts)) {
 		c.Finish(Result{Outcome: Refused, RetryAfter: b.advice()})
 		return
 	}
@@ -135,6 +141,9 @@
 	delete(b.queries, q.id)
 	delete(b.byName, q.req.ID)
 	b.open -= 1 + len(q.parts)
+	if b.opt.Open != nil {
+		b.opt.Open.Give(1 + len(q.parts))
+	}
 	for _, pt := range q.parts {
 		pt.over = true
 		if pt.live == nil {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -133,3 +133,30 @@
 		require.ErrorContains(t, err, want)
 	}
 }
+
+func TestCoresFileIsRefusedByKey(t *testing.T) {
+	c, err := load(t, good, nil) // 128 MB, 512 descriptors
+	require.NoError(t, err)
+	try := func(text string) (int, error) {
+		path := filepath.Join(t.TempDir(), "cores.toml")
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		return config.LoadCores(path, c)
+	}
+	n, err := try("workers = 2")
+	require.NoError(t, err)
+	require.Equal(t, 2, n)
+	for text, want := range map[string]string{
+		"":                       "cores.workers: is missing",
+		"workers = 0":            "cores.workers: 0 is below 1",
+		"workers = -3":           "cores.workers: -3 is below 1",
+		"workers = 17":           "bear 16",
+		"workers = 9999999":      "bear 16",
+		"workers = 2\nspeed = 1": "cores.speed: is not known",
+		"workers = \"two\"":      "cores:",
+	} {
+		_, err := try(text)
+		require.ErrorContains(t, err, want, text)
+	}
+	_, err = config.LoadCores("nowhere.toml", c)
+	require.ErrorContains(t, err, "cores:")
+}
--- /dev/null
+++ b/internal/cores/cores.go
@@ -0,0 +1,219 @@
+// Package cores runs several workers, each a core loop with a Decider of its own, behind the same fronts and the
+// same link. It is the driver beside the packages that decide: placement (which worker serves a query), lease (what
+// all may send to a cold server together) and evidence (what one learns from the others).
+package cores
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cloverhook"
+	"cloverhook/internal/broker"
+	"cloverhook/internal/lease"
+	"cloverhook/internal/placement"
+)
+
+// tellWait is how long Update waits for a worker that is busy. Links know of a drain before any worker does.
+const tellWait = 200 * time.Millisecond
+
+// Options are what a Group needs.
+type Options struct {
+	Workers  int
+	Settings cloverhook.Settings
+	OpenCap  int // queries and parts held by all workers together; 0: no limit
+	Seed     uint64
+	Log      *slog.Logger
+	// Decider makes a worker's Decider; nil: the module's.
+	Decider func(worker int, set cloverhook.Settings, seed uint64) cloverhook.Decider
+}
+
+// Group is the workers. To fronts it is one core.
+type Group struct {
+	log     *slog.Logger
+	servers *broker.Servers
+	open    *lease.Count
+	share   *share
+	workers []*worker
+	failed  chan struct{} // closed when a worker has died
+	once    sync.Once
+
+	mu    sync.Mutex // guards names, rng and the loads' Open and Dead
+	names *placement.Names
+	loads []placement.Load
+	rng   *rand.Rand
+}
+
+type worker struct {
+	b    *broker.Broker
+	dead atomic.Bool
+}
+
+// New makes a group whose workers send by one link: record servers see the connections of one broker.
+func New(opt Options, link broker.Link) *Group {
+	if opt.Log == nil {
+		opt.Log = slog.Default()
+	}
+	if opt.Decider == nil {
+		opt.Decider = func(_ int, set cloverhook.Settings, seed uint64) cloverhook.Decider {
+			return cloverhook.New(set, seed)
+		}
+	}
+	n := max(opt.Workers, 1)
+	g := &Group{
+		log: opt.Log, servers: broker.NewServers(), open: lease.NewCount(opt.OpenCap),
+		share: newShare(n, opt.Settings, opt.Seed), failed: make(chan struct{}),
+		names: placement.NewNames(), loads: make([]placement.Load, n),
+		rng: rand.New(rand.NewPCG(opt.Seed, 0xa54ff53a5f1d36f1)),
+	}
+	for i := range n {
+		d := opt.Decider(i, opt.Settings, opt.Seed^uint64(i)*0x9e3779b97f4a7c15)
+		g.workers = append(g.workers, &worker{b: broker.New(broker.Options{
+			Settings: opt.Settings, Log: opt.Log.With("worker", i), Servers: g.servers, Open: g.open,
+		}, &sharer{share: g.share, worker: i, inner: d}, link)})
+	}
+	return g
+}
+
+// Run runs the workers until ctx ends. A worker that panics is ended alone: what it held fails at once, nothing
+// more is given to it, and Failed tells, so that the process can end cleanly.
+func (g *Group) Run(ctx context.Context) {
+	var all sync.WaitGroup
+	for i, w := range g.workers {
+		all.Go(func() {
+			defer func() {
+				if why := recover(); why != nil {
+					g.log.Error("a worker has died", "worker", i, "why", why, "stack", string(debug.Stack()))
+					g.mu.Lock()
+					g.loads[i].Dead = true
+					g.mu.Unlock()
+					w.dead.Store(true)
+					w.b.Abort()
+					g.once.Do(func() { close(g.failed) })
+				}
+			}()
+			w.b.Run(ctx)
+		})
+	}
+	all.Wait()
+}
+
+// Failed is closed once a worker has died.
+func (g *Group) Failed() <-chan struct{} { return g.failed }
+
+// client is a query's client with what has to be freed at its end.
+type client struct {
+	broker.Client
+	g      *Group
+	name   string
+	worker int
+	size   int
+}
+
+func (c *client) Finish(r broker.Result) {
+	c.Left()
+	c.Client.Finish(r)
+}
+
+// Left implements broker.Leaver.
+func (c *client) Left() {
+	c.g.mu.Lock()
+	defer c.g.mu.Unlock()
+	c.g.names.Release(c.name)
+	c.g.loads[c.worker].Open -= c.size
+}
+
+// Take hands a query to a worker.
+func (g *Group) Take(r *broker.Request, c broker.Client) {
+	mine := &client{Client: c, g: g, name: r.ID, size: 1 + len(r.Parts)}
+	g.mu.Lock()
+	for i, w := range g.workers {
+		g.loads[i].Behind = w.b.Behind()
+	}
+	mine.worker = placement.Choose(g.loads, g.rng)
+	taken := mine.worker >= 0 && g.names.Claim(r.ID, mine.worker)
+	if taken {
+		g.loads[mine.worker].Open += mine.size
+	}
+	g.mu.Unlock()
+	switch {
+	case taken:
+		g.workers[mine.worker].b.Take(r, mine)
+	case mine.worker < 0:
+		c.Finish(broker.Result{Outcome: broker.Failed})
+	default:
+		c.Finish(broker.Result{Outcome: broker.Duplicate})
+	}
+}
+
+// Leave tells that the client of a query has gone away.
+func (g *Group) Leave(r *broker.Request) {
+	g.mu.Lock()
+	w, served := g.names.Worker(r.ID)
+	g.mu.Unlock()
+	if served {
+		g.workers[w].b.Leave(r)
+	}
+}
+
+// Serving tells whether record servers are known and a worker lives.
+func (g *Group) Serving() bool {
+	for _, w := range g.workers {
+		if !w.dead.Load() {
+			return g.servers.Listed()
+		}
+	}
+	return false
+}
+
+// Update hands news of the server list to all workers. When it returns, nothing new is begun at a server that
+// leaves, whether or not each worker has had the time to take note of it.
+func (g *Group) Update(l broker.List) {
+	g.servers.Apply(l)
+	g.share.tell(l.Event(), float64(time.Now().UnixNano())/1e9)
+	limit := time.NewTimer(tellWait)
+	defer limit.Stop()
+	var taken []<-chan struct{}
+	for _, w := range g.workers {
+		if !w.dead.Load() {
+			taken = append(taken, w.b.Tell(l))
+		}
+	}
+	for _, t := range taken {
+		select {
+		case <-t:
+		case <-limit.C:
+			return
+		}
+	}
+}
+
+// Drain waits until no worker holds a query, or ctx ends.
+func (g *Group) Drain(ctx context.Context) {
+	for _, w := range g.workers {
+		if !w.dead.Load() {
+			w.b.Drain(ctx)
+		}
+	}
+}
+
+// Serves is how many queries are being served.
+func (g *Group) Serves() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.names.Len()
+}
+
+// Held is how many queries and parts each worker holds.
+func (g *Group) Held() (open []int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, l := range g.loads {
+		open = append(open, l.Open)
+	}
+	return open
+}
--- /dev/null
+++ b/internal/cores/cores_test.go
@@ -0,0 +1,458 @@
+package cores
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cloverhook"
+	"cloverhook/internal/broker"
+	"cloverhook/internal/standin"
+	"cloverhook/internal/upstream"
+)
+
+// rig is a group of workers on loopback record servers that check the rules.
+type rig struct {
+	*testing.T
+	*Group
+	fleet *standin.Fleet
+	next  atomic.Int64
+}
+
+type rigOptions struct {
+	workers, servers, conns, openCap int
+	work                             time.Duration
+	warmUp                           float64
+	decider                          func(int, cloverhook.Settings, uint64) cloverhook.Decider
+}
+
+const (
+	usage = iota
+	charge
+	report
+)
+
+func settings(servers int, warmUp float64) cloverhook.Settings {
+	return cloverhook.Settings{
+		Cells: servers, Reach: 2, MaxAttempts: 4, MayCancel: true, RetryAfter: true, MaxWait: 0.5, Mixers: 1,
+		ReportMode: cloverhook.ReportPiggyback, Tick: 0.005,
+		ColdShare: 0.2, WarmUp: warmUp, FallMultiple: 2.5, FallTime: 1.5,
+		Classes: []cloverhook.Class{
+			{Aim: 1, Deadline: 2, Worth: 1, Need: 1, Floor: 1},
+			{Aim: 1, Deadline: 2, Worth: 2, Need: 1, Floor: 1, Repeat: cloverhook.RepeatUnsafe},
+			{Aim: 1, Deadline: 2, Worth: 3, Need: 1, Floor: 0.8, LateWorth: 0.1}},
+	}
+}
+
+func newRig(t *testing.T, o rigOptions) *rig {
+	fleet, err := standin.New(standin.Options{Servers: o.servers, Reach: 2, Work: o.work, Seed: 1,
+		Unsafe: func(id string) bool { return strings.HasPrefix(id, "charge") }})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	link := upstream.New(ctx, upstream.Options{Streams: 100, Conns: o.conns, Idle: 15 * time.Second,
+		ConnectTimeout: 250 * time.Millisecond})
+	r := &rig{T: t, fleet: fleet, Group: New(Options{Workers: o.workers, Settings: settings(o.servers, o.warmUp),
+		OpenCap: o.openCap, Seed: 7, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Decider: o.decider}, link)}
+	ended := make(chan struct{})
+	go func() {
+		r.Group.Run(ctx)
+		close(ended)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+		fleet.Close()
+		broken, parts := fleet.Broken()
+		require.Empty(t, broken)
+		require.NotZero(t, parts)
+		r.share.mu.Lock()
+		defer r.share.mu.Unlock()
+		require.Zero(t, r.share.over, "parts were sent to a cold server beyond a lease")
+	})
+	r.Update(broker.List{Mode: cloverhook.ListCached, Servers: fleet.Entries()})
+	return r
+}
+
+type answer chan broker.Result
+
+func (a answer) Finish(r broker.Result) { a <- r }
+
+// request makes a query of parts at shards in a row.
+func (r *rig) request(class, shard, parts int) *broker.Request {
+	n := r.next.Add(1)
+	q := &broker.Request{ID: fmt.Sprintf("%s%d", []string{"usage", "charge", "report"}[class], n), Class: class,
+		Arrived: time.Now(), Patience: 1500 * time.Millisecond, Text: []byte("x")}
+	for i := range parts {
+		q.Parts = append(q.Parts, broker.Part{Shard: (shard + i) % len(r.fleet.Servers), Share: 1 / float64(parts)})
+	}
+	return q
+}
+
+// ask has a query served, by whichever worker or, with a worker given, by that one.
+func (r *rig) ask(q *broker.Request, worker ...int) broker.Result {
+	a := make(answer, 2)
+	if len(worker) > 0 {
+		r.workers[worker[0]].b.Take(q, a)
+	} else {
+		r.Take(q, a)
+	}
+	select {
+	case res := <-a:
+		if late := time.Since(q.Arrived) - q.Patience; late > 50*time.Millisecond {
+			r.Errorf("%s was answered %v late", q.ID, late)
+		}
+		return res
+	case <-time.After(q.Patience + time.Second):
+		r.Errorf("%s was never answered", q.ID)
+		return broker.Result{Outcome: broker.Failed}
+	}
+}
+
+// load asks queries from so many clients for a time, and counts how they ended.
+func (r *rig) load(clients int, d time.Duration, make func(client, n int) *broker.Request) (ends [5]int) {
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	stop := time.Now().Add(d)
+	for c := range clients {
+		all.Go(func() {
+			for n := 0; time.Now().Before(stop); n++ {
+				res := r.ask(make(c, n))
+				mu.Lock()
+				ends[res.Outcome]++
+				mu.Unlock()
+				if res.Outcome != broker.Answered {
+					time.Sleep(5 * time.Millisecond) // as clients do
+				}
+			}
+		})
+	}
+	all.Wait()
+	return ends
+}
+
+func (r *rig) mixed(c, n int) *broker.Request {
+	return r.request([]int{usage, report, charge, usage}[(c+n)%4], c+n, []int{3, 4, 1, 3}[(c+n)%4])
+}
+
+// One worker sees a server hang; the other, which never met it, is told before it loses parts of its own.
+func TestAHangThatOneWorkerSawIsKnownToTheOther(t *testing.T) {
+	r := newRig(t, rigOptions{workers: 2, servers: 4, work: 5 * time.Millisecond})
+	for n := range 60 {
+		for w := range 2 {
+			require.Equal(t, broker.Answered, r.ask(r.request(usage, n, 4), w).Outcome)
+		}
+	}
+	bad := r.fleet.Servers[1]
+	bad.Hang(true)
+	var all sync.WaitGroup
+	for i := range 16 { // shards 0 and 1 are held by the server that hangs
+		all.Go(func() { r.ask(r.request(usage, i%2, 1), 0) })
+	}
+	all.Wait()
+	met := bad.Arrived()
+	served := 0
+	for i := range 40 {
+		if r.ask(r.request(usage, i%2, 1), 1).Outcome == broker.Answered {
+			served++
+		}
+	}
+	require.LessOrEqual(t, bad.Arrived()-met, 6, "of 40 parts, half of which it would draw")
+	require.GreaterOrEqual(t, served, 36)
+}
+
+// A sound server on which one worker alone fails stays in use by the others.
+func TestOneWorkersBadPathDoesNotCondemnAServer(t *testing.T) {
+	r := newRig(t, rigOptions{workers: 2, servers: 2, work: time.Millisecond})
+	r.ask(r.request(usage, 0, 2))
+	s := r.fleet.Servers[0]
+	from := s.Arrived()
+	for range 100 {
+		require.Equal(t, broker.Answered, r.ask(r.request(usage, 0, 1), 1).Outcome)
+		r.share.mu.Lock() // worker 0 tells of a connection of its own that breaks, again and again
+		r.share.see(0, r.now(), s.ID, cloverhook.Reset, 0.001, cloverhook.NoLoad)
+		r.share.mu.Unlock()
+	}
+	require.Greater(t, s.Arrived()-from, 20, "of 100 parts that two servers hold")
+}
+
+func (r *rig) now() float64 { return float64(time.Now().UnixNano()) / 1e9 }
+
+// All workers together send a server that has just started no more than one would.
+func TestAFreshServerUnderLoadFromAllWorkers(t *testing.T) {
+	var peak [2]int
+	for i, workers := range []int{1, 4} {
+		r := newRig(t, rigOptions{workers: workers, servers: 4, work: 4 * time.Millisecond, warmUp: 6})
+		r.load(8, 1500*time.Millisecond, func(c, n int) *broker.Request { return r.request(usage, c+n, 2) })
+		before := make([]int, 4)
+		for i, s := range r.fleet.Servers {
+			before[i] = s.Arrived()
+		}
+		fresh := r.fleet.Servers[2]
+		fresh.Restart()
+		r.Update(broker.List{Mode: cloverhook.ListDelta, Version: 1, Servers: []broker.ListEntry{fresh.Entry(cloverhook.Ready)}})
+		ends := r.load(8, 1600*time.Millisecond, func(c, n int) *broker.Request { return r.request(usage, c+n, 2) })
+		require.NotZero(t, ends[broker.Answered])
+		peak[i] = fresh.Worst(1500 * time.Millisecond)
+		require.NotZero(t, peak[i], "it is warmed up, not left alone")
+		// What the others bore in that time is a lower bound of a server's capacity; the limit is 2.5 times the
+		// share of it that a server has at the end of the window.
+		warm := float64(r.fleet.Servers[0].Arrived()-before[0]) / 1.6
+		require.Less(t, float64(peak[i]), 2.5*(0.2+0.8*1.6/6)*warm*1.5, "%d workers", workers)
+	}
+	t.Logf("parts in the worst 1.5 s: one worker %d, four workers %d", peak[0], peak[1])
+}
+
+// The list changes while leases are out: servers restart, leave and come back under load.
+func TestTheListChangesWhileLeasesAreOut(t *testing.T) {
+	r := newRig(t, rigOptions{workers: 3, servers: 6, work: 2 * time.Millisecond, warmUp: 3})
+	stop := make(chan struct{})
+	var all sync.WaitGroup
+	all.Go(func() {
+		for v := int64(1); ; v++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(60 * time.Millisecond):
+			}
+			s := r.fleet.Servers[v%6]
+			switch v % 3 {
+			case 0, 1:
+				s.Restart()
+				r.Update(broker.List{Mode: cloverhook.ListDelta, Version: v, Servers: []broker.ListEntry{s.Entry(cloverhook.Ready)}})
+			case 2:
+				r.Update(broker.List{Mode: cloverhook.ListDelta, Version: v, Servers: []broker.ListEntry{s.Entry(cloverhook.Gone)}})
+				time.Sleep(20 * time.Millisecond)
+				v += 6 // its turn, and so its number, stays
+				r.Update(broker.List{Mode: cloverhook.ListDelta, Version: v, Servers: []broker.ListEntry{s.Entry(cloverhook.Ready)}})
+			}
+		}
+	})
+	ends := r.load(8, 2*time.Second, r.mixed)
+	close(stop)
+	all.Wait()
+	require.NotZero(t, ends[broker.Answered])
+	r.share.mu.Lock()
+	defer r.share.mu.Unlock()
+	require.LessOrEqual(t, len(r.share.cold), 6)
+	require.LessOrEqual(t, r.share.board.Len(), 6)
+}
+
+// slow is a Decider that takes its time now and then, as one does whose core is taken away.
+type slow struct {
+	cloverhook.Decider
+	until *atomic.Int64
+}
+
+func (s slow) Handle(now float64, events []cloverhook.Event) []cloverhook.Action {
+	actions := s.Decider.Handle(now, events)
+	time.Sleep(time.Until(time.Unix(0, s.until.Load()))) // behind the decision: what it decided is old by then
+	return actions
+}
+
+// A drain is told while a worker is busy. What that worker had decided before must not go out after it.
+func TestADrainToldWhileAWorkerIsBusy(t *testing.T) {
+	var busy atomic.Int64
+	r := newRig(t, rigOptions{workers: 2, servers: 4, work: 2 * time.Millisecond,
+		decider: func(w int, set cloverhook.Settings, seed uint64) cloverhook.Decider {
+			if w == 0 {
+				return slow{cloverhook.New(set, seed), &busy}
+			}
+			return cloverhook.New(set, seed)
+		}})
+	go func() {
+		time.Sleep(300 * time.Millisecond)
+		busy.Store(time.Now().Add(700 * time.Millisecond).UnixNano())
+		time.Sleep(50 * time.Millisecond) // parts for all servers are decided and wait
+		s := r.fleet.Servers[1]
+		s.Drain()
+		began := time.Now()
+		r.Update(broker.List{Mode: cloverhook.ListDelta, Version: 1, Servers: []broker.ListEntry{s.Entry(cloverhook.Draining)}})
+		if took := time.Since(began); took > tellWait+50*time.Millisecond {
+			t.Errorf("the watch of the list was held up for %v", took)
+		}
+	}()
+	ends := r.load(8, 1500*time.Millisecond, func(c, n int) *broker.Request { return r.request(usage, c+n, 4) })
+	require.NotZero(t, ends[broker.Answered])
+}
+
+// All load comes by one connection, one query after the other: it is spread all the same.
+func TestOneConnectionsLoadIsSpread(t *testing.T) {
+	var asked [2]atomic.Int64
+	r := newRig(t, rigOptions{workers: 2, servers: 4, work: time.Millisecond,
+		decider: func(w int, set cloverhook.Settings, seed uint64) cloverhook.Decider {
+			return counting{cloverhook.New(set, seed), &asked[w]}
+		}})
+	for n := range 100 {
+		require.Equal(t, broker.Answered, r.ask(r.request(usage, n, 2)).Outcome)
+	}
+	require.Greater(t, asked[0].Load(), int64(25))
+	require.Greater(t, asked[1].Load(), int64(25))
+	require.Equal(t, []int{0, 0}, r.Held())
+}
+
+type counting struct {
+	cloverhook.Decider
+	n *atomic.Int64
+}
+
+func (c counting) Handle(now float64, events []cloverhook.Event) []cloverhook.Action {
+	for _, e := range events {
+		if _, ok := e.(cloverhook.Query); ok {
+			c.n.Add(1)
+		}
+	}
+	return c.Decider.Handle(now, events)
+}
+
+// Classes are skewed to what must not run twice, servers fail and break off, and clients ask again at once, with a
+// new name, at whichever worker. The ledger watches the rules.
+func TestChargePostsRetriedAcrossWorkers(t *testing.T) {
+	r := newRig(t, rigOptions{workers: 4, servers: 4, work: 3 * time.Millisecond})
+	for _, s := range r.fleet.Servers[:2] {
+		s.Fail(0.3)
+	}
+	stop := make(chan struct{})
+	var all sync.WaitGroup
+	all.Go(func() {
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(40 * time.Millisecond):
+				r.fleet.Servers[n%4].Break()
+			}
+		}
+	})
+	ends := r.load(12, 1500*time.Millisecond, func(c, n int) *broker.Request {
+		if n%10 == 0 {
+			return r.request(report, c, 4)
+		}
+		return r.request(charge, c+n, 1+n%2)
+	})
+	close(stop)
+	all.Wait()
+	require.NotZero(t, ends[broker.Answered])
+}
+
+// A name that is being served is served once, whichever workers get it.
+func TestANameIsServedOnceByWhicheverWorker(t *testing.T) {
+	r := newRig(t, rigOptions{workers: 4, servers: 4, work: 30 * time.Millisecond})
+	for range 10 {
+		q := r.request(charge, 0, 1)
+		var ends [5]atomic.Int64
+		var all sync.WaitGroup
+		for range 8 {
+			all.Go(func() {
+				again := *q
+				again.Arrived = time.Now()
+				ends[r.ask(&again).Outcome].Add(1)
+			})
+		}
+		all.Wait()
+		require.Equal(t, int64(1), ends[broker.Answered].Load())
+		require.Equal(t, int64(7), ends[broker.Duplicate].Load())
+	}
+	require.Zero(t, r.Serves())
+}
+
+func TestAClientThatLeavesFreesWhatItHeld(t *testing.T) {
+	r := newRig(t, rigOptions{workers: 2, servers: 2, openCap: 4, work: 200 * time.Millisecond})
+	for range 5 {
+		q := r.request(usage, 0, 2)
+		r.Take(q, make(answer, 1))
+		r.Leave(q)
+		require.Eventually(t, func() bool { return r.open.Used() == 0 && r.Serves() == 0 }, time.Second, time.Millisecond)
+	}
+	require.Equal(t, []int{0, 0}, r.Held())
+	require.Equal(t, broker.Answered, r.ask(r.request(usage, 0, 1)).Outcome)
+}
+
+// The open cap holds for all workers together.
+func TestTheOpenCapIsOne(t *testing.T) {
+	r := newRig(t, rigOptions{workers: 4, servers: 4, openCap: 9, work: 100 * time.Millisecond})
+	var all sync.WaitGroup
+	var served, refused atomic.Int64
+	for range 8 {
+		all.Go(func() {
+			switch res := r.ask(r.request(usage, 0, 2)); res.Outcome { // three of nine each
+			case broker.Answered:
+				served.Add(1)
+			case broker.Refused:
+				require.Equal(t, 0.5, res.RetryAfter)
+				refused.Add(1)
+			}
+		})
+	}
+	all.Wait()
+	require.Equal(t, int64(3), served.Load())
+	require.Equal(t, int64(5), refused.Load())
+}
+
+func TestMoreWorkersThanCores(t *testing.T) {
+	r := newRig(t, rigOptions{workers: 3 * runtime.NumCPU(), servers: 6, work: 2 * time.Millisecond, warmUp: 3})
+	ends := r.load(24, time.Second, r.mixed)
+	require.Greater(t, ends[broker.Answered], 9*(ends[broker.Failed]+ends[broker.Overdue]))
+}
+
+// Six connections for four servers and four workers: calls share them, and no worker starves.
+func TestAHandfulOfDescriptors(t *testing.T) {
+	r := newRig(t, rigOptions{workers: 4, servers: 4, conns: 6, work: 2 * time.Millisecond})
+	ends := r.load(12, time.Second, r.mixed)
+	require.Greater(t, ends[broker.Answered], 9*(ends[broker.Failed]+ends[broker.Overdue]))
+	conns := 0
+	for _, s := range r.fleet.Servers {
+		conns += s.Conns()
+	}
+	require.LessOrEqual(t, conns, 6+2) // one just closed may not be gone yet
+}
+
+// doomed is a Decider that panics at a query of two parts.
+type doomed struct{ cloverhook.Decider }
+
+func (d doomed) Handle(now float64, events []cloverhook.Event) []cloverhook.Action {
+	for _, e := range events {
+		if q, ok := e.(cloverhook.Query); ok && q.Parts == 2 {
+			panic("a fault in the decisions")
+		}
+	}
+	return d.Decider.Handle(now, events)
+}
+
+// A worker that panics leaves nobody hanging: what it held fails at once, the others serve on.
+func TestAWorkerThatPanicsLeavesNobodyHanging(t *testing.T) {
+	r := newRig(t, rigOptions{workers: 2, servers: 4, work: 150 * time.Millisecond,
+		decider: func(w int, set cloverhook.Settings, seed uint64) cloverhook.Decider {
+			return doomed{cloverhook.New(set, seed)}
+		}})
+	held := make(chan broker.Result, 4)
+	for i := range 4 {
+		go func() { held <- r.ask(r.request(usage, i, 1), 0) }()
+	}
+	time.Sleep(20 * time.Millisecond)
+	began := time.Now()
+	require.Equal(t, broker.Failed, r.ask(r.request(usage, 0, 2), 0).Outcome)
+	for range 4 {
+		require.Equal(t, broker.Failed, (<-held).Outcome)
+	}
+	require.Less(t, time.Since(began), 200*time.Millisecond)
+	<-r.Failed()
+	require.Equal(t, broker.Failed, r.ask(r.request(usage, 0, 1), 0).Outcome, "posted to a loop that is gone")
+	require.True(t, r.Serving())
+	for i := range 4 {
+		require.Equal(t, broker.Answered, r.ask(r.request(usage, i, 1)).Outcome)
+	}
+	r.Update(broker.List{Mode: cloverhook.ListDelta, Version: 1, Servers: r.fleet.Entries()})
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	r.Drain(ctx)
+	require.NoError(t, ctx.Err())
+}
--- /dev/null
+++ b/internal/cores/share.go
@@ -0,0 +1,248 @@
+package cores
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+
+	"cloverhook"
+	"cloverhook/internal/evidence"
+	"cloverhook/internal/lease"
+)
+
+// share is what the workers of a process have in common. Each worker's Decider is wrapped in a sharer, which puts
+// what the worker sees here and hands it what the others saw, as events that the module knows: Heard and Room.
+// The lock is held for the few steps between a batch's events, never while a Decider decides.
+type share struct {
+	mu      sync.Mutex
+	workers int
+	board   *evidence.Board
+	bearing *lease.Bearing
+	limits  lease.Limits
+	cold    map[string]*coldServer
+	started map[string]float64 // of all servers on the list, with the time of their last start
+	ready   int                // how many of them take work
+	probed  map[string]float64 // when one was last probed by whichever worker
+	over    int                // parts beyond a lease by workers that had been told; stays 0
+
+	entries map[string]cloverhook.Server // the list as it is now
+	news    []cloverhook.List            // the latest news, those from number first on
+	first   int
+}
+
+// coldServer is a server that warms up.
+type coldServer struct {
+	room        *lease.Room
+	started     float64
+	luck, until float64 // how the present window's room is rounded
+	told        int     // number of the news that brought it
+}
+
+const (
+	probeAgain = 0.25 // seconds in which a server is probed once, by whichever worker
+	newsKept   = 64   // a worker that lags behind more news gets the whole list instead
+)
+
+func newShare(workers int, set cloverhook.Settings, seed uint64) *share {
+	l := lease.Limits{
+		ColdShare: set.ColdShare, WarmUp: set.WarmUp, FallMultiple: set.FallMultiple, FallTime: set.FallTime,
+		Brokers: set.Mixers,
+	}
+	return &share{
+		workers: workers, board: evidence.NewBoard(workers), limits: l,
+		bearing: lease.NewBearing(l, rand.New(rand.NewPCG(seed, 0x3c6ef372fe94f82b))),
+		cold:    map[string]*coldServer{}, started: map[string]float64{}, probed: map[string]float64{},
+		entries: map[string]cloverhook.Server{},
+	}
+}
+
+// warm is how many servers are warm, at least a third of all, as the module counts.
+func (s *share) warm() int { return max(s.ready-len(s.cold), len(s.started)/3, 1) }
+
+// tell takes up news of the list, once for all workers, before any of them: from then on each worker decides with
+// it, also one whose loop has not come to the event yet.
+func (s *share) tell(l cloverhook.List, now float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l.Mode != cloverhook.ListFailed {
+		s.list(l, now)
+	}
+	s.news = append(s.news, l)
+	if len(s.news) > newsKept {
+		s.news = append([]cloverhook.List(nil), s.news[1:]...)
+		s.first++
+	}
+}
+
+func (s *share) list(l cloverhook.List, now float64) {
+	if l.Mode != cloverhook.ListDelta { // those that it lacks are gone
+		here := map[string]bool{}
+		for _, e := range l.Servers {
+			here[e.ID] = true
+		}
+		for id := range s.started {
+			if !here[id] {
+				s.drop(id)
+			}
+		}
+	}
+	for _, e := range l.Servers {
+		if e.State == cloverhook.Gone {
+			s.drop(e.ID)
+			continue
+		}
+		old, known := s.started[e.ID]
+		if s.entries[e.ID] = e; known && e.Started <= old {
+			continue
+		}
+		if known {
+			s.board.Forget(e.ID) // what was seen of the old process is void
+		}
+		s.started[e.ID] = e.Started
+		delete(s.cold, e.ID)
+		if s.limits.FallTime > 0 && s.bearing.Warmth(e.Started, now) < 1 {
+			s.cold[e.ID] = &coldServer{room: lease.NewRoom(s.workers, s.limits.FallTime), started: e.Started,
+				told: s.first + len(s.news)}
+		}
+	}
+	s.ready = len(s.started)
+}
+
+func (s *share) drop(id string) {
+	delete(s.entries, id)
+	delete(s.started, id)
+	delete(s.cold, id)
+	delete(s.probed, id)
+	s.board.Forget(id)
+}
+
+// catchUp is the news that a worker has not had, which had those before number got.
+func (s *share) catchUp(got int) (news []cloverhook.Event) {
+	if got < s.first {
+		l := cloverhook.List{Mode: cloverhook.ListFull}
+		for _, e := range s.entries {
+			l.Servers = append(l.Servers, e)
+		}
+		slices.SortFunc(l.Servers, func(a, b cloverhook.Server) int { return strings.Compare(a.ID, b.ID) })
+		return append(news, l)
+	}
+	for _, l := range s.news[got-s.first:] {
+		news = append(news, l)
+	}
+	return news
+}
+
+// see books an outcome.
+func (s *share) see(worker int, now float64, id string, status cloverhook.Status, latency float64, load cloverhook.Load) {
+	if _, listed := s.started[id]; !listed {
+		return // gone: nothing is kept of it
+	}
+	seen := evidence.Seen{Latency: latency, Load: load}
+	switch status {
+	case cloverhook.OK:
+		seen.Kind = evidence.Good
+		s.bearing.Answered(now, s.warm())
+	case cloverhook.TimedOut, cloverhook.Cancelled:
+		seen.Kind = evidence.Silent
+	case cloverhook.NotSent:
+		return
+	default:
+		seen.Kind = evidence.Failed
+	}
+	s.board.See(worker, id, now, seen)
+}
+
+// rooms are a worker's leases of all cold servers.
+func (s *share) rooms(worker int, now float64, events []cloverhook.Event) []cloverhook.Event {
+	for id, c := range s.cold {
+		w := s.bearing.Warmth(c.started, now)
+		if w >= 1 {
+			delete(s.cold, id)
+			continue
+		}
+		if now >= c.until {
+			c.luck, c.until = s.bearing.Luck(), now+s.limits.FallTime
+		}
+		g := c.room.Renew(worker, s.bearing.Whole(w, c.luck, now, s.warm()), now)
+		if g.Parts == 0 {
+			c.room.Miss(worker, now)
+		}
+		events = append(events, cloverhook.Room{Server: id, Parts: g.Parts, Until: g.Until})
+	}
+	return events
+}
+
+// sharer is one worker's Decider with what it shares.
+type sharer struct {
+	*share
+	worker int
+	inner  cloverhook.Decider
+	got    int // news of the list that inner has had
+}
+
+// before takes what the worker saw and adds what it should hear. A panic must not leave the lock held: the other
+// workers go on.
+func (d *sharer) before(now float64, events []cloverhook.Event) []cloverhook.Event {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	all := d.catchUp(d.got)
+	d.got = d.first + len(d.news)
+	for _, e := range events {
+		switch e := e.(type) {
+		case cloverhook.List:
+			continue // it is among the news, perhaps of a batch ago
+		case cloverhook.Ended:
+			d.see(d.worker, now, e.Server, e.Status, e.Latency, e.Load)
+		case cloverhook.Probed:
+			if e.Status != cloverhook.TimedOut {
+				d.see(d.worker, now, e.Server, e.Status, e.Latency, e.Load)
+			}
+		}
+		all = append(all, e)
+	}
+	if d.board.Waiting(d.worker) {
+		for _, h := range d.board.Take(d.worker, now) {
+			all = append(all, h)
+		}
+	}
+	if len(d.cold) > 0 {
+		all = d.rooms(d.worker, now, all)
+	}
+	return all
+}
+
+// Handle implements cloverhook.Decider.
+func (d *sharer) Handle(now float64, events []cloverhook.Event) []cloverhook.Action {
+	events = d.before(now, events)
+	actions := d.inner.Handle(now, events)
+	return d.after(now, actions)
+}
+
+// after books what the worker sends.
+func (d *sharer) after(now float64, actions []cloverhook.Action) []cloverhook.Action {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	kept := actions[:0]
+	for _, a := range actions {
+		switch a := a.(type) {
+		case cloverhook.Send:
+			// One that was decided while the news came counts, but broke no lease that its worker knew of.
+			if c := d.cold[a.Server]; c != nil && !c.room.Spend(d.worker, 1, now) && c.told < d.got {
+				d.over++
+			}
+		case cloverhook.Probe:
+			if at, asked := d.probed[a.Server]; asked && now-at < probeAgain {
+				continue // another worker asks it just now, and what it says is heard by all
+			}
+			if _, listed := d.started[a.Server]; listed {
+				d.probed[a.Server] = now
+			}
+		}
+		kept = append(kept, a)
+	}
+	for _, c := range d.cold {
+		c.room.Settle(d.worker)
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,160 @@
+package lease_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"cloverhook/internal/lease"
+)
+
+// Over any schedule of decisions that overlap, sends, pauses and a whole that changes: what is sent within a window
+// and what is granted never sum to more than the largest whole of late, and no worker sends beyond its lease, however
+// long it takes to decide.
+func TestLeasesNeverSumToMoreThanTheWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		workers := rapid.IntRange(1, 8).Draw(t, "workers")
+		const window = 1.5
+		r := lease.NewRoom(workers, window)
+		now, whole := 100.0, 0
+		type decision struct {
+			at    float64
+			grant lease.Grant
+		}
+		deciding := make([]*decision, workers)
+		type told struct {
+			at    float64
+			whole int
+		}
+		var wholes []told // what the whole was, as long as it may matter
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now += rapid.Float64Range(0, 0.2).Draw(t, "pause")
+			w := rapid.IntRange(0, workers-1).Draw(t, "worker")
+			if d := deciding[w]; d != nil {
+				n := rapid.IntRange(0, d.grant.Parts).Draw(t, "sent")
+				if n > 0 && d.at <= d.grant.Until && !r.Spend(w, n, d.at) {
+					t.Fatalf("%d parts are beyond a lease of %+v", n, d.grant)
+				}
+				r.Settle(w)
+				deciding[w] = nil
+			} else {
+				whole = rapid.IntRange(max(0, whole-1), whole+2).Draw(t, "whole")
+				wholes = append(wholes, told{now, whole})
+				g := r.Renew(w, float64(whole), now)
+				if g.Parts > 0 && (now > g.Until || g.Until > now+lease.Life+1e-9) {
+					t.Fatalf("a lease until %g at %g", g.Until, now)
+				}
+				deciding[w] = &decision{now, g}
+			}
+			oldest := now
+			for _, d := range deciding {
+				if d != nil {
+					oldest = min(oldest, d.at)
+				}
+			}
+			bound := 0
+			for _, o := range wholes {
+				if o.at >= oldest-window-lease.Life-0.2 {
+					bound = max(bound, o.whole)
+				}
+			}
+			if sent, granted := r.Held(now); sent+granted > bound {
+				t.Fatalf("%d sent and %d granted of %d", sent, granted, bound)
+			}
+		}
+	})
+}
+
+func TestALeaseThatExpiredSendsNothing(t *testing.T) {
+	r := lease.NewRoom(2, 1.5)
+	require.Equal(t, 4, r.Renew(0, 8, 10).Parts)
+	r.Settle(0)
+	require.False(t, r.Spend(0, 1, 10+lease.Life+0.01))
+	r = lease.NewRoom(2, 1.5)
+	r.Renew(0, 8, 10)
+	require.True(t, r.Spend(0, 4, 10+lease.Life/2))
+	require.False(t, r.Spend(0, 1, 10+lease.Life/2))
+}
+
+// What one worker does not use goes to the one that does.
+func TestLeasesFollowDemand(t *testing.T) {
+	r := lease.NewRoom(4, 1.5)
+	busy, idle := 0, 0
+	for i := range 400 { // four seconds, all renew; only worker 2 has parts to send
+		now := 10 + 0.01*float64(i)
+		for w := range 4 {
+			g := r.Renew(w, 20, now)
+			r.Settle(w)
+			if w == 2 && g.Parts > 0 {
+				require.True(t, r.Spend(w, 1, now))
+				busy++
+			} else if w != 2 {
+				idle = max(idle, g.Parts)
+			}
+		}
+	}
+	require.Greater(t, busy, 40, "of 53 that four seconds of a whole of 20 in 1.5 s allow")
+	require.LessOrEqual(t, busy, 60)
+	require.LessOrEqual(t, idle, 5)
+}
+
+// Where the whole is less than the workers, single parts go round, and a worker that is gone holds up nobody.
+func TestASinglePartGoesRound(t *testing.T) {
+	r := lease.NewRoom(4, 0.5)
+	got := make([]int, 4)
+	for i := range 4000 {
+		now := 10 + 0.01*float64(i)
+		for w := range 3 { // the fourth never asks
+			g := r.Renew(w, 1, now)
+			r.Settle(w)
+			if g.Parts == 0 {
+				r.Miss(w, now)
+			} else if r.Spend(w, 1, now) {
+				got[w]++
+			}
+		}
+	}
+	for w := range 3 {
+		require.Greater(t, got[w], 10, "worker %d of %v", w, got)
+	}
+	require.LessOrEqual(t, got[0]+got[1]+got[2], 81)
+}
+
+func TestCountIsExact(t *testing.T) {
+	c := lease.NewCount(10)
+	require.True(t, c.Take(7))
+	require.False(t, c.Take(4))
+	require.True(t, c.Take(3))
+	c.Give(7)
+	require.Equal(t, 3, c.Used())
+	require.True(t, lease.NewCount(0).Take(1_000_000))
+}
+
+// A process of four workers bears on a cold server as one of a single worker does.
+func TestBearingDoesNotGrowWithTheWorkers(t *testing.T) {
+	l := lease.Limits{ColdShare: 0.2, WarmUp: 10, FallMultiple: 2.5, FallTime: 1.5, Brokers: 2}
+	b := lease.NewBearing(l, rand.New(rand.NewPCG(1, 2)))
+	for i := range 1000 { // 100 answers a second from 10 warm servers: 10 a second each
+		b.Answered(100+float64(i)/100, 10)
+	}
+	require.InDelta(t, 0.8*2.5*0.2*1.5*10*(1-1/7.4), b.Whole(0.2, 0, 110, 10), 1.5)
+	require.Equal(t, 1.0, b.Warmth(0, 110), "no start is told")
+	require.Equal(t, 0.2, b.Warmth(110, 110))
+	require.Equal(t, 0.2, b.Warmth(115, 110), "a clock behind the server's is no reason to trust it")
+	require.Equal(t, 1.0, b.Warmth(99, 110))
+	blank := lease.NewBearing(l, rand.New(rand.NewPCG(1, 2)))
+	require.Equal(t, 0.0, blank.Whole(0.2, 0.4, 110, 10))
+	require.Equal(t, 1.0, blank.Whole(0.2, 0.6, 110, 10), "a broker that has seen nothing may try now and then")
+}
+
+func BenchmarkRenew(b *testing.B) {
+	r := lease.NewRoom(4, 1.5)
+	for i := range b.N {
+		now := 10 + 0.001*float64(i)
+		if g := r.Renew(i%4, 50, now); g.Parts > 0 {
+			r.Spend(i%4, 1, now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,63 @@
+package placement_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"cloverhook/internal/placement"
+)
+
+func TestQueriesGoToWorkersThatHoldLess(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	loads := make([]placement.Load, 4)
+	for range 4000 {
+		loads[placement.Choose(loads, rng)].Open++
+	}
+	for _, l := range loads {
+		require.InDelta(t, 1000, l.Open, 20)
+	}
+	// One that is behind gets next to none until it has caught up.
+	loads[1].Behind = 500
+	before := loads[1].Open
+	for range 400 {
+		loads[placement.Choose(loads, rng)].Open++
+	}
+	require.Equal(t, before, loads[1].Open)
+}
+
+func TestNothingGoesToTheDead(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		loads := make([]placement.Load, rapid.IntRange(1, 6).Draw(t, "workers"))
+		alive := 0
+		for i := range loads {
+			loads[i] = placement.Load{Open: rapid.IntRange(0, 9).Draw(t, "open"), Dead: rapid.Bool().Draw(t, "dead")}
+			if !loads[i].Dead {
+				alive++
+			}
+		}
+		for range 20 {
+			w := placement.Choose(loads, rng)
+			if alive == 0 {
+				require.Equal(t, -1, w)
+			} else {
+				require.False(t, loads[w].Dead)
+			}
+		}
+	})
+}
+
+func TestANameIsServedOnce(t *testing.T) {
+	n := placement.NewNames()
+	require.True(t, n.Claim("q", 0))
+	require.False(t, n.Claim("q", 1))
+	w, ok := n.Worker("q")
+	require.True(t, ok)
+	require.Equal(t, 0, w)
+	n.Release("q")
+	require.True(t, n.Claim("q", 1))
+	require.Equal(t, 1, n.Len())
+}
--- a/policy.go
+++ b/policy.go
@@ -1,11 +1,12 @@
 package cloverhook
 
 // The module: every decision. Its interface (settings, events, actions) is in api.go.
-// Each part drops the unsuitable replicas and draws one in proportion to weight = fitness x factors.
-// Fitness comes from a table rebuilt every ten seconds from load reports. Each factor is 1 when nothing
-// is wrong and answers one kind of symptom that the table cannot show in time. docs/design.md tells why.
+// Each part drops unsuitable replicas and draws one in proportion to weight = fitness x factors. The table of
+// fitness is rebuilt every ten seconds. Each factor is 1 when nothing is wrong; docs/design.md tells why.
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -45,6 +46,7 @@
 	sends           []float64 // times of sends within FallTime, for the cold cap
 	coldSince       float64   // start of the warm-up; -Inf: warm
 	luck, luckUntil float64   // how the present window's room is rounded
+	room            *Room     // of a budget shared with other mixers; nil: there is none
 
 	turn int     // the draw's turn that key belongs to
 	key  float64 // exponential variate / weight in that turn
@@ -103,8 +105,8 @@
 	probeAt, rebuildAt float64 // next round of probes, next rebuild
 	watchAt            float64 // when to ask for the list again; +Inf: subscribed or not needed
 	watchFails         int
-	breakers           []breaker // queries that broke their servers, while their clients may repeat them
-	wake, armed        float64   // earliest wish of this batch, earliest timer out
+	breakers           map[uint64]float64 // by print, queries that broke their servers: until when
+	wake, armed        float64            // earliest wish of this batch, earliest timer out
 	turn               int
 
 	latency                []ring    // latest latencies by class
@@ -125,10 +127,10 @@
 
 // New returns the decisions of one mixer. Equal settings, seeds and events give equal actions.
 func New(s Settings, seed uint64) *Policy {
-	p := &Policy{set: s, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), armed: math.Inf(1),
-		byID: map[string]*server{}, parts: map[RequestID]*part{}, queries: map[int64]*query{},
-		byQuery: map[RequestID]*query{}, meanFitness: 1, latency: make([]ring, len(s.Classes)),
-		waryUntil: make([]float64, len(s.Classes)), waits: make([]float64, len(s.Classes))}
+	n, p := len(s.Classes), &Policy{set: s, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
+		armed: math.Inf(1), meanFitness: 1, byID: map[string]*server{}, breakers: map[uint64]float64{},
+		parts: map[RequestID]*part{}, queries: map[int64]*query{}, byQuery: map[RequestID]*query{}}
+	p.latency, p.waryUntil, p.waits = make([]ring, n), make([]float64, n), make([]float64, n)
 	if !s.AskForList {
 		p.watchAt = math.Inf(1)
 	}
@@ -157,6 +159,12 @@
 			}
 		case Probed:
 			p.onProbed(e)
+		case Heard:
+			p.onHeard(e)
+		case Room:
+			if s := p.byID[e.Server]; s != nil {
+				s.room, s.sends = &e, nil
+			}
 		case Timer:
 			if p.armed <= now+edgeSlack {
 				p.armed = math.Inf(1)
@@ -201,9 +209,7 @@
 	}
 	for _, e := range l.Servers {
 		e.Zone = max(e.Zone, 0) // an odd zone is no index
-		for e.Zone >= len(p.zones) {
-			p.zones = append(p.zones, mark{})
-		}
+		p.zones = append(p.zones, make([]mark, max(e.Zone+1-len(p.zones), 0))...)
 		s := p.byID[e.ID]
 		if s == nil {
 			s = &server{load: NoLoad, coldSince: math.Inf(-1)}
@@ -248,8 +254,20 @@
 		if e.Status != OK || s.cut > 0 { // an answered probe says nothing of errors and full queues
 			p.mark(s, e.Status)
 		}
-		p.hear(s, e.Load)
+		p.hear(s, e.Load, p.now)
+	}
+}
+
+// onHeard takes hearsay, unless this mixer's own news is as new.
+func (p *Policy) onHeard(e Heard) {
+	s := p.byID[e.Server]
+	if s == nil || e.At < s.Started {
+		return
 	}
+	if e.Weight > 0 && e.At > s.badAt {
+		s.badShare, s.badAt = p.bad(s)+e.Weight*(e.Failed-p.bad(s)), e.At
+	}
+	p.hear(s, e.Load, e.At)
 }
 
 // inquire probes, while attempts are often cut off, the server of which news is oldest, one a part at most:
@@ -292,9 +310,9 @@
 	s.cut, s.badAt, z.at = cut, p.now, p.now
 }
 
-func (p *Policy) hear(s *server, l Load) {
-	if l != NoLoad {
-		s.load, s.heardAt = l, p.now
+func (p *Policy) hear(s *server, l Load, at float64) {
+	if l != NoLoad && at >= s.heardAt {
+		s.load, s.heardAt = l, at
 	}
 }
 
@@ -341,9 +359,8 @@
 	ceiling := math.Max(ceilingLeast, ceilingTimes*sum/math.Max(n, 1))
 	for _, s := range p.servers {
 		if s.heardAt > 0 {
-			s.fitness = math.Max(0, 1-s.queueOf()/ceiling)
-			s.fitness *= math.Pow(aggression, -100*math.Max(s.load.Busy, 0))
-			s.fitness = math.Max(s.fitness, fitnessFloor)
+			queue := math.Max(0, 1-s.queueOf()/ceiling)
+			s.fitness = math.Max(queue*math.Pow(aggression, -100*math.Max(s.load.Busy, 0)), fitnessFloor)
 			if s.ready() {
 				total += s.fitness
 			}
@@ -357,10 +374,7 @@
 // ---- the draw ----
 
 func (p *Policy) weight(s *server) float64 {
-	fitness := s.fitness
-	if fitness == 0 { // an unreported server counts as average
-		fitness = p.meanFitness
-	}
+	fitness := cmp.Or(s.fitness, p.meanFitness) // an unreported server counts as average
 	return fitness * p.nearness(s) * p.warmth(s) * s.leisure(p.now) * p.trust(s, 0) * p.pulse(s) * p.speed(s)
 }
 
@@ -485,6 +499,8 @@
 	w := p.warmth(s)
 	if w >= 1 || p.set.FallTime <= 0 {
 		return true
+	} else if s.room != nil {
+		return len(s.sends) < s.room.Parts && p.now <= s.room.Until
 	}
 	s.sends = slices.DeleteFunc(s.sends, func(t float64) bool { return t < p.now-p.set.FallTime })
 	// Chance rounds this mixer's share, anew in each window: up always would add up over the mixers.
@@ -540,8 +556,7 @@
 	c := &p.set.Classes[e.Class]
 	q := &query{Query: e, class: c, step: 1, arrived: p.now, print: uint64(e.Class + 1)}
 	q.aim = math.Min(p.now+c.Aim+c.AimStretch*e.Work, e.Deadline) - p.lead()
-	q.end = q.aim
-	if c.LateWorth > 0 {
+	if q.end = q.aim; c.LateWorth > 0 {
 		q.end = e.Deadline - p.lead()
 	}
 	// Clients that leave long before their stated deadline get nothing from a later answer: while many do,
@@ -577,39 +592,32 @@
 	a := &pt.attempts[e.Attempt]
 	a.live, a.mayRun = false, e.Status != Overloaded && e.Status != Unreachable && e.Status != NotSent
 	pt.live--
-	p.hear(a.srv, e.Load)
+	p.hear(a.srv, e.Load, p.now)
 	p.judge(a, pt, e)
 	a.srv.own--
-	if pt.over {
-		if pt.live == 0 {
-			delete(p.parts, e.ID)
-		}
-		return
-	}
-	if e.Status == OK {
+	switch {
+	case pt.over && pt.live == 0:
+		delete(p.parts, e.ID)
+	case pt.over:
+	case e.Status == OK:
 		pt.in = true
 		p.cancelLive(pt)
-	} else if e.Closed {
-		pt.dropped = true
-	}
-	if e.Status == Reset {
-		pt.q.resets++
+	default:
+		pt.dropped = e.Closed
+		if e.Status == Reset {
+			pt.q.resets++
+		}
 	}
 }
 
 // known tells that a query like this one has broken its servers lately.
 func (p *Policy) known(q *query) bool {
-	p.breakers = slices.DeleteFunc(p.breakers, func(b breaker) bool { return p.now > b.until })
-	return slices.ContainsFunc(p.breakers, func(b breaker) bool { return b.print == q.print })
+	maps.DeleteFunc(p.breakers, func(_ uint64, until float64) bool { return p.now > until })
+	return p.breakers[q.print] > 0
 }
 
 const printPrime = 1099511628211 // of the FNV hash
 
-type breaker struct {
-	print uint64
-	until float64
-}
-
 func (p *Policy) judge(a *attempt, pt *part, e Ended) {
 	s := a.srv
 	p.mark(s, e.Status)
@@ -682,9 +690,7 @@
 func (p *Policy) release(q *query) {
 	for _, pt := range q.parts {
 		pt.over = true
-		if !pt.in {
-			p.cancelLive(pt)
-		}
+		p.cancelLive(pt)
 		if pt.live == 0 {
 			delete(p.parts, pt.ID)
 		}
@@ -749,7 +755,7 @@
 	case q.resets > 1 && in+float64(live) == 0 && q.step == 1 &&
 		math.Pow(p.cut, float64(q.resets)) < breakChance:
 		p.waryUntil[q.Class] = p.now + waryFor
-		p.breakers = append(p.breakers, breaker{q.print, q.arrived + c.Deadline})
+		p.breakers[q.print] = q.arrived + c.Deadline
 		p.giveUp(q)
 	case !q.sent && (p.known(q) || p.doomed(q)):
 		p.giveUp(q)
@@ -845,12 +851,9 @@
 		return false
 	}
 	for _, a := range pt.attempts {
-		if !a.live && !a.mayRun {
-			continue
-		}
 		keyed := pt.q.class.Repeat == RepeatKeyed
-		if a.live && !p.set.MayCopy || pt.q.class.Repeat == RepeatUnsafe ||
-			keyed && p.now > a.sentAt+pt.q.class.RepeatWindow-edgeSlack {
+		if a.live && !p.set.MayCopy || (a.live || a.mayRun) && (pt.q.class.Repeat == RepeatUnsafe ||
+			keyed && p.now > a.sentAt+pt.q.class.RepeatWindow-edgeSlack) {
 			return false
 		}
 	}
@@ -871,12 +874,9 @@
 
 // budgetLeft tells whether a further attempt fits the budget, counted over the window that ends now.
 func (p *Policy) budgetLeft() bool {
-	if !p.set.Budget {
-		return true
-	}
 	p.taken, p.extra = p.forget(p.taken, edgeSlack), p.forget(p.extra, -edgeSlack)
 	allowed := float64(p.set.BudgetFree) + p.set.BudgetShare*float64(len(p.taken))
-	return float64(len(p.extra)+1) <= allowed+edgeSlack
+	return !p.set.Budget || float64(len(p.extra)+1) <= allowed+edgeSlack
 }
 
 func (p *Policy) sendParts(q *query, in float64) {
--- /dev/null
+++ b/shared_test.go
@@ -0,0 +1,66 @@
+package cloverhook_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cloverhook"
+)
+
+// Hearsay moves the draw away from a server that another loop of the process saw fail, unless this one knows
+// better, and a later recovery brings it back.
+func TestHearsayMovesTheDraw(t *testing.T) {
+	share := func(r *rig) (n int) { // of 100 parts, those that went to s0
+		for range 100 {
+			_, ev := r.query(0, 1)
+			for _, s := range sends(r.handle(ev...)) {
+				if s.Server == "s0" {
+					n++
+				}
+				r.now += 0.001
+				r.handle(ended(s.ID, 0, s.Server, cloverhook.OK, 0.001))
+			}
+		}
+		return n
+	}
+	heard := func(r *rig, at, failed, weight float64) {
+		r.handle(cloverhook.Heard{Server: "s0", At: at, Failed: failed, Weight: weight, Load: cloverhook.NoLoad})
+	}
+	r := newRig(t, settings(), servers(2)...)
+	require.InDelta(t, 50, share(r), 20)
+	heard(r, r.now-0.05, 1, 0.75) // older than what was seen here
+	require.InDelta(t, 50, share(r), 20)
+	r.now += 3
+	heard(r, r.now, 1, 0.75)
+	require.Less(t, share(r), 10)
+	heard(r, r.now+0.001, 0, 1)
+	require.Greater(t, share(r), 30)
+	heard(r, r.now, 1, 1)
+	r.handle(cloverhook.Heard{Server: "unheard-of", At: r.now, Failed: 1, Weight: 1, Load: cloverhook.NoLoad})
+	r.handle(cloverhook.List{Servers: []cloverhook.Server{{ID: "s0", Started: r.now + 1}}})
+	heard(r, r.now, 1, 0.75) // of the process before
+	r.now += 30              // warm again
+	require.Greater(t, share(r), 30)
+}
+
+// A mixer that is told its room at a cold server keeps to it to the part and to the time.
+func TestRoomOfASharedBudget(t *testing.T) {
+	r := newRig(t, settings(), servers(1)...)
+	r.warm(50, 0.01) // by its own estimate it would send several a second
+	r.handle(cloverhook.List{Servers: []cloverhook.Server{{ID: "s0", Started: r.now}}})
+	try := func(events ...cloverhook.Event) int {
+		_, ev := r.query(0, 6)
+		out := sends(r.handle(append(events, ev...)...))
+		for _, snd := range out {
+			r.handle(ended(snd.ID, 0, snd.Server, cloverhook.OK, 0.01))
+		}
+		return len(out)
+	}
+	require.Equal(t, 2, try(cloverhook.Room{Server: "s0", Parts: 2, Until: r.now + 0.1}))
+	require.Zero(t, try())
+	require.Equal(t, 3, try(cloverhook.Room{Server: "s0", Parts: 3, Until: r.now + 0.1}))
+	require.Zero(t, try(cloverhook.Room{Server: "s0", Parts: 3, Until: r.now - 0.01}), "the lease has expired")
+	r.now += 20
+	require.Equal(t, 6, try(), "warm again: no lease is needed")
+}
