--- /dev/null
+++ b/internal/cores/bench_test.go
@@ -0,0 +1,61 @@
+package cores
+
+import (
+	"fmt"
+	"testing"
+
+	"cloverhook"
+)
+
+// nothing decides nothing, so that what is left is the cost of sharing.
+type nothing struct{}
+
+func (nothing) Handle(float64, []cloverhook.Event) []cloverhook.Action { return nil }
+
+// BenchmarkShare is what one outcome costs beside its decision, with 200 servers, of which some are cold.
+func BenchmarkShare(b *testing.B) {
+	for _, workers := range []int{1, 2, 4} {
+		for _, cold := range []int{0, 20} {
+			b.Run(fmt.Sprintf("workers=%d/cold=%d", workers, cold), func(b *testing.B) {
+				s := newShare(workers, settings(200, 1e9), 1)
+				l := cloverhook.List{Mode: cloverhook.ListFull}
+				for i := range 200 {
+					e := cloverhook.Server{ID: fmt.Sprint("s", i), Cell: i}
+					if i < cold {
+						e.Started = 99
+					}
+					l.Servers = append(l.Servers, e)
+				}
+				s.tell(l, 100)
+				ds := make([]*sharer, workers)
+				for w := range ds {
+					ds[w] = &sharer{share: s, worker: w, inner: nothing{}}
+				}
+				events := make([]cloverhook.Event, 1)
+				b.ReportAllocs()
+				for i := range b.N {
+					now := 100 + 0.0001*float64(i)
+					events[0] = cloverhook.Ended{Server: l.Servers[i%200].ID, Status: cloverhook.OK, Latency: 0.02,
+						Load: cloverhook.Load{Busy: 0.5}}
+					ds[i%workers].Handle(now, events)
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkPlace is what a front pays for a query to be placed and its name kept.
+func BenchmarkPlace(b *testing.B) {
+	g := New(Options{Workers: 4, Settings: settings(4, 0)}, nil)
+	b.ReportAllocs()
+	for i := range b.N {
+		name := fmt.Sprint(i)
+		g.mu.Lock()
+		for w := range g.workers {
+			g.loads[w].Behind = g.workers[w].b.Behind()
+		}
+		g.names.Claim(name, 0)
+		g.mu.Unlock()
+		(&client{g: g, name: name}).Left()
+	}
+}
