Give operators a control address, draining, figures and a handover of the socket

Not taken: to close everything at LEAVE, which sends clients to a front that has not noticed yet. - internal/tally counts requests by the status that their client got and attempts written whole. - PROXY_ACCEPT_FD: the process takes the socket that it inherits, and after SIGTERM stops accepting at once, since the next process takes who comes. Not taken: a socket between the two processes to pass connections on.

--- a/cmd/mothrouter/main.go
+++ b/cmd/mothrouter/main.go
@@ -21,10 +21,12 @@
 	"cloverhook/internal/backoff"
 	"cloverhook/internal/broker"
 	"cloverhook/internal/config"
+	"cloverhook/internal/control"
 	"cloverhook/internal/cores"
 	"cloverhook/internal/discovery"
 	"cloverhook/internal/flight"
 	"cloverhook/internal/front"
+	"cloverhook/internal/tally"
 	"cloverhook/internal/upstream"
 )
 
@@ -71,8 +73,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 
+	var core core
+	figures := tally.New(cfg.Classes, func() (g tally.Gauges) {
+		g.Open, g.Entries, g.Avoided = core.Gauges()
+		return g
+	})
 	var link broker.Link = upstream.New(ctx, upstream.Options{
 		Streams: cfg.Streams, Conns: cfg.ServerConns, Idle: cfg.ConnIdle, ConnectTimeout: cfg.ConnectTimeout,
+		Relayed: figures.Relayed,
 	})
 	var partners *config.Flight
 	if flightFile != "" {
@@ -81,7 +89,6 @@
 		}
 		link = mixed(ctx, cfg, partners, link)
 	}
-	var core core
 	var died <-chan struct{} // nil, which never speaks, with one loop: its panic ends the process
 	if coresFile == "" {
 		core = broker.New(broker.Options{Settings: cfg.Settings, OpenCap: cfg.OpenCap, Log: log},
@@ -106,15 +113,24 @@
 	go watcher.Run(ctx)
 	go reload(hup, cfg, watcher, log)
 
-	listener, err := net.Listen("tcp", cfg.Listen)
+	listener, err := listen(cfg)
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return err
 	}
 	clients := front.New(front.Options{
 		Classes: cfg.Classes, Shards: cfg.Shards, ConnsMax: cfg.ClientConns, IdleMost: cfg.IdleConns, Buffers: cfg.Buffers, Advice: cfg.Advice(),
+		Tally: figures,
 	}, core, log)
-	served := make(chan error, 2)
+	served := make(chan error, 3)
 	go func() { served <- clients.Serve(listener) }()
+	if cfg.Control != "" {
+		l, err := net.Listen("tcp", cfg.Control)
+		if err != nil {
+			return fmt.Errorf("control: %w", err)
+		}
+		operators := control.New(steered{clients, figures}, log)
+		go func() { served <- operators.Serve(l) }()
+	}
 	var flights *flight.Front
 	if partners != nil {
 		l, err := net.Listen("tcp", partners.Listen)
@@ -138,7 +154,11 @@
 		why = errors.New("a worker has died; what the others held was answered")
 	}
 	log.Info("ending")
-	wait := time.NewTimer(stillAccepts)
+	accepts := stillAccepts
+	if cfg.AcceptFD != 0 {
+		accepts = 0 // the socket is not this process's: who comes is taken by the next one
+	}
+	wait := time.NewTimer(accepts)
 	select {
 	case err := <-served:
 		wait.Stop()
@@ -164,8 +184,38 @@
 	Run(context.Context)
 	Update(broker.List)
 	Drain(context.Context)
+	Gauges() (held, entries, avoided int)
+}
+
+// listen opens the clients' listening socket, or takes the one that the process has inherited.
+func listen(cfg *config.Config) (net.Listener, error) {
+	if cfg.AcceptFD == 0 {
+		l, err := net.Listen("tcp", cfg.Listen)
+		if err != nil {
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+		return l, nil
+	}
+	f := os.NewFile(uintptr(cfg.AcceptFD), "PROXY_ACCEPT_FD")
+	l, err := net.FileListener(f)
+	f.Close() // the listener has one of its own
+	if err != nil {
+		return nil, fmt.Errorf("PROXY_ACCEPT_FD: %d is no listening socket: %w", cfg.AcceptFD, err)
+	}
+	return l, nil
+}
+
+// steered is the process as operators steer it.
+type steered struct {
+	clients *front.Front
+	figures *tally.Tally
 }
 
+func (s steered) Takes() bool             { return s.clients.Takes() }
+func (s steered) Leave()                  { s.clients.Drain() }
+func (s steered) Join()                   { s.clients.Rejoin() }
+func (s steered) Figures(b []byte) []byte { return s.figures.Append(b) }
+
 // reload takes up the file again on each SIGHUP. A bad one changes nothing.
 func reload(hup <-chan os.Signal, cfg *config.Config, watcher *discovery.Watcher, log *slog.Logger) {
 	for range hup {
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -7,6 +7,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cloverhook"
@@ -73,6 +74,8 @@
 	servers *Servers
 	timers  map[*time.Timer]struct{}
 	idle    []chan struct{} // closed once no query is held
+
+	held atomic.Int64 // queries held, for whoever asks
 }
 
 // New makes a broker that decides with d and sends by link.
@@ -166,6 +169,7 @@
 			b.perform(a)
 		}
 	}
+	b.held.Store(int64(len(b.queries)))
 	if len(b.queries) == 0 {
 		for _, c := range b.idle {
 			close(c)
@@ -261,6 +265,12 @@
 	b.idle = nil
 }
 
+// Gauges are what is held and known now: queries, record servers on the list, and those of them that get no work.
+func (b *Broker) Gauges() (held, entries, avoided int) {
+	entries, avoided = b.servers.Count()
+	return int(b.held.Load()), entries, avoided
+}
+
 // Drain waits until no query is held, or ctx ends.
 func (b *Broker) Drain(ctx context.Context) {
 	c := make(chan struct{})
--- a/internal/broker/call.go
+++ b/internal/broker/call.go
@@ -11,12 +11,35 @@
 type Server struct {
 	ID, Addr string
 	Cell     int
-	leaving  atomic.Bool // draining or gone; links read it
+	leaving  atomic.Bool  // draining or gone; links read it
+	failures atomic.Int64 // attempts that failed since the latest that did not
+	failed   atomic.Int64 // when the latest did, in Unix nanoseconds
 }
 
 // Leaving tells that the server drains or is gone, or that its address has changed.
 func (s *Server) Leaving() bool { return s.leaving.Load() }
 
+// book counts failures in a row. The counts tell operators what the Decider most likely avoids; nothing is decided
+// by them.
+func (s *Server) book(status cloverhook.Status) {
+	switch status {
+	case cloverhook.OK:
+		s.failures.Store(0)
+	case cloverhook.Error, cloverhook.Reset, cloverhook.Unreachable, cloverhook.TimedOut:
+		s.failures.Add(1)
+		s.failed.Store(time.Now().UnixNano())
+	}
+}
+
+const (
+	avoidedFailures = 3 // in a row
+	avoidedFor      = 5 * time.Second
+)
+
+func (s *Server) avoided(now time.Time) bool {
+	return s.failures.Load() >= avoidedFailures && now.UnixNano()-s.failed.Load() < int64(avoidedFor)
+}
+
 // Reply is how a call ended, as the link saw it.
 type Reply struct {
 	Status cloverhook.Status
@@ -28,6 +51,7 @@
 type Call struct {
 	Query    string // the query's name
 	Shard    int
+	Class    int
 	Unsafe   bool // it must not run twice
 	Text     []byte
 	Server   *Server
@@ -91,7 +115,7 @@
 		return
 	}
 	q := pt.q
-	c.Query, c.Shard, c.Text = q.req.ID, pt.Shard, q.req.Text
+	c.Query, c.Shard, c.Class, c.Text = q.req.ID, pt.Shard, q.req.Class, q.req.Text
 	c.Unsafe = q.class.Repeat == cloverhook.RepeatUnsafe
 	c.Server, c.Addr = s, s.Addr
 	c.Deadline = q.deadline
@@ -150,6 +174,7 @@
 func (b *Broker) ended(c *Call, r Reply) {
 	pt := c.pt
 	c.stop()
+	c.Server.book(r.Status)
 	pt.live = nil
 	switch r.Status {
 	case cloverhook.Overloaded, cloverhook.Unreachable, cloverhook.NotSent:
--- a/internal/broker/list.go
+++ b/internal/broker/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"cloverhook"
 )
@@ -24,17 +25,21 @@
 // is busy then must not delay what a drain forbids.
 type Servers struct {
 	mu     sync.RWMutex
-	byID   map[string]*Server
+	byID   map[string]*Server // those that take work
+	leaves map[string]bool    // those on the list that drain
 	listed bool
 }
 
 // NewServers returns an empty list.
-func NewServers() *Servers { return &Servers{byID: map[string]*Server{}} }
+func NewServers() *Servers { return &Servers{byID: map[string]*Server{}, leaves: map[string]bool{}} }
 
 // Apply takes news of the list. From its return on nothing new is begun at a server that leaves.
 func (s *Servers) Apply(l List) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if l.Mode == cloverhook.ListFull || l.Mode == cloverhook.ListCached {
+		clear(s.leaves)
+	}
 	ready := map[string]bool{}
 	for id := range s.byID { // of a whole list, those that it lacks are gone
 		ready[id] = l.Mode != cloverhook.ListFull && l.Mode != cloverhook.ListCached
@@ -48,6 +53,9 @@
 			s.byID[n.ID] = &Server{ID: n.ID, Addr: n.Addr, Cell: n.Cell}
 		}
 		ready[n.ID] = n.State == cloverhook.Ready
+		if delete(s.leaves, n.ID); n.State == cloverhook.Draining {
+			s.leaves[n.ID] = true
+		}
 	}
 	for id, srv := range s.byID {
 		srv.leaving.Store(!ready[id])
@@ -65,6 +73,20 @@
 	return s.byID[id]
 }
 
+// Count is how many servers are on the list, and how many of them get no work now.
+func (s *Servers) Count() (entries, avoided int) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	now := time.Now()
+	avoided = len(s.leaves)
+	for _, srv := range s.byID {
+		if srv.avoided(now) {
+			avoided++
+		}
+	}
+	return len(s.byID) + len(s.leaves), avoided
+}
+
 // Listed tells whether any server has been heard of.
 func (s *Servers) Listed() bool {
 	s.mu.RLock()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -21,6 +21,8 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Control   string // where operators call; "": nowhere
+	AcceptFD  int    // the listening socket that the process inherited; 0: it opens its own
 	Seed      uint64
 	MemoryMB  int
 	Sockets   int
@@ -80,6 +82,7 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
+	Control   string `json:"control"`
 	Seed      string `json:"seed"`
 	Limits    struct {
 		MemoryMB *int `json:"memory_mb"`
@@ -127,13 +130,14 @@
 		return nil, bad("PROXY_CONFIG", "%v", err)
 	}
 	c := &Config{
-		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery,
+		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Control: f.Control,
 		MemoryMB: defaultMemoryMB, Sockets: defaultSockets,
 		ConnIdle: 15 * time.Second, ConnectTimeout: 250 * time.Millisecond, Streams: 1,
 		getenv: getenv, file: f,
 	}
 	for key, v := range map[string]*string{
 		"PROXY_NAME": &c.Name, "PROXY_LISTEN": &c.Listen, "PROXY_DISCOVERY": &c.Discovery,
+		"PROXY_CONTROL": &c.Control,
 	} {
 		if s := getenv(key); s != "" {
 			*v = s
@@ -145,6 +149,16 @@
 	if err := checkAddr("discovery", c.Discovery); err != nil {
 		return nil, err
 	}
+	if c.Control != "" {
+		if err := checkAddr("control", c.Control); err != nil {
+			return nil, err
+		}
+	}
+	if fd := getenv("PROXY_ACCEPT_FD"); fd != "" {
+		if c.AcceptFD, err = strconv.Atoi(fd); err != nil || c.AcceptFD < 3 {
+			return nil, bad("PROXY_ACCEPT_FD", "%q is no descriptor that a process can inherit", fd)
+		}
+	}
 	if f.Seed != "" {
 		if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
 			return nil, bad("seed", "cannot read %q as 16 hex digits", f.Seed)
@@ -199,6 +213,7 @@
 	}{
 		{"name", n.Name != c.Name},
 		{"listen", n.Listen != c.Listen},
+		{"control", n.Control != c.Control},
 		{"limits", n.MemoryMB != c.MemoryMB || n.Sockets != c.Sockets},
 		{"settings", !bytes.Equal(n.file.Settings, c.file.Settings)},
 	} {
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,138 @@
+package control
+
+import (
+	"container/list"
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+)
+
+const (
+	wholeLimit = 600 * time.Millisecond // for a call to come whole; a reply is due within 1 s
+	writeLimit = 300 * time.Millisecond // for a caller to take its reply
+	lingerFor  = 100 * time.Millisecond
+	callers    = 24 // at once; the one that has been silent longest makes room for another
+)
+
+// Process is what operators steer. Its methods are called by any goroutine and must not wait for a loop.
+type Process interface {
+	// Takes tells whether clients are taken.
+	Takes() bool
+	// Leave sends clients away; Join takes them again. Both may be called again and again.
+	Leave()
+	Join()
+	// Figures writes the figures behind b, a line each.
+	Figures(b []byte) []byte
+}
+
+// Server answers operators.
+type Server struct {
+	p   Process
+	log *slog.Logger
+
+	mu   sync.Mutex
+	open list.List // of net.Conn, by when they came
+}
+
+// New makes a server.
+func New(p Process, log *slog.Logger) *Server { return &Server{p: p, log: log} }
+
+// Serve answers until the listener is closed.
+func (s *Server) Serve(l net.Listener) error {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			s.log.Warn("accept at the control address failed", "err", err)
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		at := s.enter(c)
+		go func() {
+			s.serve(c)
+			c.Close()
+			s.leave(at)
+		}()
+	}
+}
+
+// enter books a caller. Guards the descriptors against callers that stay: the oldest is closed for a new one.
+func (s *Server) enter(c net.Conn) *list.Element {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open.Len() >= callers {
+		s.open.Remove(s.open.Front()).(net.Conn).Close()
+	}
+	return s.open.PushBack(c)
+}
+
+func (s *Server) leave(at *list.Element) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open.Remove(at) // nothing, if it has made room already
+}
+
+// serve answers one caller.
+func (s *Server) serve(c net.Conn) {
+	var m Machine
+	c.SetReadDeadline(time.Now().Add(wholeLimit))
+	for {
+		n, err := c.Read(m.Space())
+		m.Filled(n)
+		call, ok, bad := m.Next()
+		if bad == nil && !ok && err != nil {
+			var late net.Error
+			if !errors.As(err, &late) || !late.Timeout() {
+				return // the caller has gone
+			}
+			bad = ErrHalf
+		}
+		if ok || bad != nil {
+			s.reply(c, call, bad)
+			return
+		}
+	}
+}
+
+func (s *Server) reply(c net.Conn, call Call, bad error) {
+	out := make([]byte, 0, 1024)
+	switch {
+	case bad != nil:
+		out = append(append(out, "NAK "...), bad.Error()...)
+	case call == Health && !s.p.Takes():
+		out = append(out, "NAK no clients are taken"...)
+	case call == Dump:
+		out = s.p.Figures(append(out, "ACK\n"...))
+		out = append(out, "--"...)
+	case call == Leave:
+		s.p.Leave()
+		s.log.Info("operators drain this process")
+		out = append(out, "ACK"...)
+	case call == Join:
+		s.p.Join()
+		s.log.Info("operators end the drain")
+		out = append(out, "ACK"...)
+	default:
+		out = append(out, "ACK"...)
+	}
+	c.SetWriteDeadline(time.Now().Add(writeLimit))
+	if _, err := c.Write(append(out, '\n')); err != nil || bad == nil {
+		return
+	}
+	// What has come beyond the call is read and forgotten for a moment: closing with bytes unread would reset
+	// the connection, and the reply could be lost with it.
+	if t, ok := c.(*net.TCPConn); ok {
+		t.CloseWrite()
+		c.SetReadDeadline(time.Now().Add(lingerFor))
+		var trash [512]byte
+		for range 64 {
+			if _, err := c.Read(trash[:]); err != nil {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,107 @@
+package control_test
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cloverhook/internal/control"
+)
+
+func TestMachine(t *testing.T) {
+	for text, want := range map[string]any{
+		"HEALTH\n": control.Health, "DUMP\r\n": control.Dump, "LEAVE\n": control.Leave, "JOIN\n": control.Join,
+		"health\n": control.ErrUnknown, "\n": control.ErrUnknown, " JOIN\n": control.ErrUnknown,
+		"JOIN\nLEAVE\n": control.ErrMore, strings.Repeat("x", 64): control.ErrLong, "HEAL": nil, "": nil,
+	} {
+		for _, piece := range []int{1, 64} {
+			var m control.Machine
+			var got any
+			for rest := text; rest != "" && got == nil; {
+				n := copy(m.Space(), rest[:min(piece, len(rest))])
+				m.Filled(n)
+				rest = rest[n:]
+				if c, ok, err := m.Next(); err != nil {
+					got = err
+				} else if ok && rest == "" {
+					got = c
+				}
+			}
+			if want == control.ErrMore && piece == 1 {
+				continue // the first line is whole before the second has begun to come
+			}
+			require.Equal(t, want, got, "%q by %d", text, piece)
+		}
+	}
+}
+
+type process struct{ away atomic.Bool }
+
+func (p *process) Takes() bool             { return !p.away.Load() }
+func (p *process) Leave()                  { p.away.Store(true) }
+func (p *process) Join()                   { p.away.Store(false) }
+func (p *process) Figures(b []byte) []byte { return append(b, "svc.open_requests:3|g\n"...) }
+
+func serve(t *testing.T) (addr string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go control.New(&process{}, slog.New(slog.NewTextHandler(io.Discard, nil))).Serve(l)
+	return l.Addr().String()
+}
+
+func call(t *testing.T, addr, text string) string {
+	c, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	defer c.Close()
+	began := time.Now()
+	fmt.Fprint(c, text)
+	c.SetReadDeadline(began.Add(2 * time.Second))
+	reply, err := io.ReadAll(c)
+	require.NoError(t, err)
+	require.Less(t, time.Since(began), time.Second, "%q", text)
+	return string(reply)
+}
+
+func TestCalls(t *testing.T) {
+	addr := serve(t)
+	for _, step := range [][2]string{
+		{"HEALTH\n", "ACK\n"}, {"DUMP\n", "ACK\nsvc.open_requests:3|g\n--\n"},
+		{"LEAVE\n", "ACK\n"}, {"LEAVE\n", "ACK\n"}, {"HEALTH\n", "NAK no clients are taken\n"},
+		{"JOIN\n", "ACK\n"}, {"HEALTH\n", "ACK\n"},
+		{"SHUTDOWN\n", "NAK no such call\n"}, {"HEA", "NAK the call did not come whole in time\n"},
+		{"", "NAK the call did not come whole in time\n"}, {"JOIN\nLEAVE\n", "NAK more than one line\n"},
+		{strings.Repeat("y", 100_000), "NAK the call is too long\n"}, {"HEALTH\n", "ACK\n"},
+	} {
+		require.Equal(t, step[1], call(t, addr, step[0]), "%q", step[0])
+	}
+}
+
+// Callers that say nothing, or half a call, and stay, starve nobody.
+func TestSilentCallersStarveNobody(t *testing.T) {
+	addr := serve(t)
+	var stay []net.Conn
+	defer func() {
+		for _, c := range stay {
+			c.Close()
+		}
+	}()
+	for i := range 200 {
+		c, err := net.Dial("tcp", addr)
+		require.NoError(t, err)
+		stay = append(stay, c)
+		if i%2 == 0 {
+			fmt.Fprint(c, "DUM")
+		}
+		if i%20 == 0 {
+			require.Equal(t, "ACK\n", call(t, addr, "HEALTH\n"))
+		}
+	}
+}
--- a/internal/cores/cores.go
+++ b/internal/cores/cores.go
@@ -208,6 +208,12 @@
 	return g.names.Len()
 }
 
+// Gauges are what all workers hold and know.
+func (g *Group) Gauges() (held, entries, avoided int) {
+	entries, avoided = g.servers.Count()
+	return g.Serves(), entries, avoided
+}
+
 // Held is how many queries and parts each worker holds.
 func (g *Group) Held() (open []int) {
 	g.mu.Lock()
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cloverhook/internal/broker"
+	"cloverhook/internal/drain"
 	"cloverhook/internal/httpwire"
 )
 
@@ -52,7 +53,11 @@
 	}()
 	defer close(c.spaces)
 	defer c.sock.Close()
-	idle := time.NewTimer(FirstLimit)
+	limit := FirstLimit
+	if _, ending := c.f.state(); ending {
+		limit = drain.LastAnswers
+	}
+	idle := time.NewTimer(limit)
 	defer idle.Stop()
 	first, started := true, false // no request has come whole; one has begun to come
 	for {
@@ -81,7 +86,9 @@
 				}
 			}
 		case r := <-c.reply:
-			ok := c.write(result(r, c.closes))
+			resp := result(r, c.closes)
+			c.f.opt.Tally.Ended(c.held.Class, resp.Status)
+			ok := c.write(resp)
 			c.held = nil
 			if !ok {
 				return
@@ -145,11 +152,12 @@
 func (c *conn) handle(req *httpwire.Request) bool {
 	resp := httpwire.Response{Close: req.Close, NoBody: req.Method == "HEAD"}
 	index, known := c.f.opt.Classes[req.Class()]
+	down, refuses := c.f.drained()
 	switch {
 	case req.Path == "/up":
 		if resp.Status = 200; req.Method != "GET" && req.Method != "HEAD" {
 			resp.Status, resp.Allow = 405, "GET, HEAD"
-		} else if !c.f.core.Serving() {
+		} else if down || !c.f.core.Serving() {
 			resp.Status = 503
 		}
 	case !known:
@@ -158,6 +166,11 @@
 		resp.Status, resp.Allow = 405, "POST"
 	default:
 		r, err := c.request(req, index)
+		if err == nil && refuses {
+			resp.Status, resp.RetryAfter, resp.Body = 503, c.f.opt.Advice, problem{"refused: this broker is being drained"}
+			c.f.opt.Tally.Ended(index, resp.Status)
+			break
+		}
 		if err == nil {
 			c.held, c.closes = r, req.Close
 			c.f.core.Take(r, c)
@@ -168,6 +181,7 @@
 			resp.Status = e.Status
 		}
 		resp.Body = problem{err.Error()}
+		c.f.opt.Tally.Ended(index, resp.Status)
 	}
 	return c.write(resp)
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -11,7 +11,9 @@
 	"time"
 
 	"cloverhook/internal/broker"
+	"cloverhook/internal/drain"
 	"cloverhook/internal/httpwire"
+	"cloverhook/internal/tally"
 )
 
 const (
@@ -43,6 +45,7 @@
 	IdleMost int            // of them between requests at most; 0: no bound
 	Buffers  int            // bytes of requests held at most, beside a few KiB for each connection
 	Advice   float64        // seconds after which a client that finds no room should come back; 0: not said
+	Tally    *tally.Tally   // counts requests by how they ended; nil: nobody does
 }
 
 // Front serves client connections.
@@ -56,6 +59,7 @@
 	mu      sync.Mutex
 	closing bool // answers say Connection: close
 	ending  bool // connections end as soon as nothing is held
+	drain   drain.State
 	conns   map[*conn]struct{}
 	fresh   list.List // of conns that have never sent a whole request, by when they came
 	kept    list.List // of conns between requests, by when they had their last answer
@@ -212,21 +216,59 @@
 	}
 	f.mu.Lock()
 	f.ending = true
+	f.mu.Unlock()
+	f.wakeAll()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// Drain sends clients away: operators want this process empty, but running. Rejoin takes them again.
+func (f *Front) Drain() {
+	f.mu.Lock()
+	f.drain.Leave(time.Now())
+	f.mu.Unlock()
+	time.AfterFunc(drain.Next(), f.wakeAll)
+}
+
+// Rejoin ends a drain.
+func (f *Front) Rejoin() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.drain.Join()
+}
+
+// Takes tells whether clients are taken.
+func (f *Front) Takes() bool {
+	f.mu.Lock()
+	takes := !f.closing && f.drain.Up()
+	f.mu.Unlock()
+	return takes && f.core.Serving()
+}
+
+// wakeAll has each connection look at what has changed.
+func (f *Front) wakeAll() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for c := range f.conns {
 		select {
 		case c.wake <- struct{}{}:
 		default:
 		}
 	}
-	f.mu.Unlock()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
 }
 
+// state tells whether answers say that the connection closes, and whether connections that wait for nothing end.
 func (f *Front) state() (closing, ending bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.closing, f.ending
+	return f.closing || f.drain.Closing(), f.ending || f.drain.ClosesIdle(time.Now())
+}
+
+// drained tells whether the process is up for clients, and whether requests are refused.
+func (f *Front) drained() (down, refuses bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.drain.Up(), f.drain.Refuses(time.Now())
 }
--- /dev/null
+++ b/internal/tally/tally.go
@@ -0,0 +1,82 @@
+// Package tally counts what a process has done and writes it in the form in which operators fetch it. Counters are
+// atomics: they are read whatever the load, without asking a loop that may be busy.
+package tally
+
+import (
+	"sort"
+	"strconv"
+	"sync/atomic"
+)
+
+// Class counts the requests of one class by how they ended, and the attempts of their parts.
+type Class struct{ Fulfilled, Throttled, Faulted, Relayed atomic.Uint64 }
+
+// Gauges are what holds at a moment.
+type Gauges struct {
+	Open    int // requests taken and not yet ended
+	Entries int // record servers on the list
+	Avoided int // of them those that get no work now: they drain, or fail each time
+}
+
+// Tally is a process's counts. Make it with New.
+type Tally struct {
+	names   []string // by class
+	classes []Class
+	gauges  func() Gauges
+}
+
+// New returns counts of 0 for the classes, and asks gauges for what holds.
+func New(classes map[string]int, gauges func() Gauges) *Tally {
+	t := &Tally{names: make([]string, len(classes)), classes: make([]Class, len(classes)), gauges: gauges}
+	for name, i := range classes {
+		t.names[i] = name
+	}
+	return t
+}
+
+// Ended counts a request by the status that its client was answered with.
+func (t *Tally) Ended(class, status int) {
+	if t == nil || class < 0 || class >= len(t.classes) {
+		return
+	}
+	switch c := &t.classes[class]; status {
+	case 200:
+		c.Fulfilled.Add(1)
+	case 429, 503:
+		c.Throttled.Add(1)
+	default:
+		c.Faulted.Add(1)
+	}
+}
+
+// Relayed counts an attempt that was written whole.
+func (t *Tally) Relayed(class int) {
+	if t != nil && class >= 0 && class < len(t.classes) {
+		t.classes[class].Relayed.Add(1)
+	}
+}
+
+// Append writes all figures, a line each, behind b.
+func (t *Tally) Append(b []byte) []byte {
+	line := func(name string, v uint64, kind byte) {
+		b = append(append(b, "svc."...), name...)
+		b = append(strconv.AppendUint(append(b, ':'), v, 10), '|', kind, '\n')
+	}
+	order := make([]int, len(t.names))
+	for i := range order {
+		order[i] = i
+	}
+	sort.Slice(order, func(a, b int) bool { return t.names[order[a]] < t.names[order[b]] })
+	for _, i := range order {
+		c, name := &t.classes[i], "operations."+t.names[i]+"."
+		line(name+"fulfilled", c.Fulfilled.Load(), 'c')
+		line(name+"throttled", c.Throttled.Load(), 'c')
+		line(name+"faulted", c.Faulted.Load(), 'c')
+		line(name+"relayed", c.Relayed.Load(), 'c')
+	}
+	g := t.gauges()
+	line("open_requests", uint64(max(g.Open, 0)), 'g')
+	line("registry_entries", uint64(max(g.Entries, 0)), 'g')
+	line("out_of_rotation", uint64(max(g.Avoided, 0)), 'g')
+	return b
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -302,6 +302,9 @@
 		}
 		cn.sock.SetWriteDeadline(time.Now().Add(writeLimit))
 		n, err := cn.sock.Write(buf)
+		if j != nil && j.call != nil && n == len(buf) && cn.l.opt.Relayed != nil {
+			cn.l.opt.Relayed(j.call.Class)
+		}
 		cn.l.mu.Lock()
 		if j != nil && j.state == jobWriting {
 			if j.state, j.at = jobWritten, time.Now(); cn.owed.IsZero() {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -17,7 +17,8 @@
 	Conns          int           // connections held at most; 0: no bound
 	Idle           time.Duration // record servers close connections idle for so long
 	ConnectTimeout time.Duration
-	Fresh          time.Duration // how long after a word a connection is sure to live; 0: 80 ms
+	Fresh          time.Duration   // how long after a word a connection is sure to live; 0: 80 ms
+	Relayed        func(class int) // told of each call that was written whole; nil: nobody is
 }
 
 // Link is the link to all record servers.
