--- a/api.go
+++ b/api.go
@@ -188,14 +188,21 @@
 		Latency float64
 		Load    Load
 	}
-	// Heard is hearsay of a server: what another loop of the same process saw of it. News of the mixer's own
-	// that is not older wins over it.
+	// Heard is hearsay of a server: what another loop of the same process saw of it, or the process before this
+	// one. News of the mixer's own that is not older wins over it.
 	Heard struct {
 		Server string
 		At     float64 // when it was so
 		Failed float64 // share of failed attempts, 0 to 1
 		Weight float64 // how far the mixer's own mark moves there, 0 to 1
+		Pace   float64 // latency of a part there; 0: not told
 		Load   Load
+		LoadAt float64 // when the report came; 0: At
+	}
+	// Remembered is what the process before this one knew of the fleet. It counts while this one has seen nothing.
+	Remembered struct {
+		Pace float64 // latency of a part
+		Peak float64 // parts that a warm server answers this mixer a second
 	}
 	// Room tells how many more parts may go to a cold server until a time. A mixer that hears so of a server
 	// holds a share of a common budget and guesses none of its own.
@@ -222,6 +229,7 @@
 func (Probed) event()      {}
 func (Heard) event()       {}
 func (Room) event()        {}
+func (Remembered) event()  {}
 func (Timer) event()       {}
 func (PeerMessage) event() {}
 
--- a/cmd/mothrouter/main.go
+++ b/cmd/mothrouter/main.go
@@ -26,6 +26,7 @@
 	"cloverhook/internal/discovery"
 	"cloverhook/internal/flight"
 	"cloverhook/internal/front"
+	"cloverhook/internal/keeper"
 	"cloverhook/internal/tally"
 	"cloverhook/internal/upstream"
 )
@@ -39,18 +40,29 @@
 func main() {
 	flightFile := flag.String("flight", "", "`file` that switches Arrow Flight on, such as deploy/flight.toml")
 	coresFile := flag.String("cores", "", "`file` that switches several cores on, such as deploy/cores.toml")
+	stateFile := flag.String("state", "", "`file` that has learned state last over restarts, such as deploy/state.toml")
+	if len(os.Args) > 1 && os.Args[1] == "state" {
+		if err := stateCommand().Execute(); err != nil {
+			fmt.Fprintln(os.Stderr, "mothrouter:", err)
+			os.Exit(1)
+		}
+		return
+	}
 	flag.Parse()
 	if flag.NArg() > 0 {
 		flag.Usage()
 		os.Exit(2)
 	}
-	if err := run(os.Getenv, *flightFile, *coresFile); err != nil {
+	if err := run(os.Getenv, files{*flightFile, *coresFile, *stateFile}); err != nil {
 		fmt.Fprintln(os.Stderr, "mothrouter:", err)
 		os.Exit(1)
 	}
 }
 
-func run(getenv func(string) string, flightFile, coresFile string) error {
+// files are the operator files; "": what they switch on is off.
+type files struct{ flight, cores, state string }
+
+func run(getenv func(string) string, files files) error {
 	// Before all else: a broker must not end because it was told of a new file.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
@@ -59,8 +71,8 @@
 		return err
 	}
 	workers := 1
-	if coresFile != "" {
-		if workers, err = config.LoadCores(coresFile, cfg); err != nil {
+	if files.cores != "" {
+		if workers, err = config.LoadCores(files.cores, cfg); err != nil {
 			return err
 		}
 	}
@@ -83,19 +95,33 @@
 		Relayed: figures.Relayed,
 	})
 	var partners *config.Flight
-	if flightFile != "" {
-		if partners, err = config.LoadFlight(flightFile); err != nil {
+	if files.flight != "" {
+		if partners, err = config.LoadFlight(files.flight); err != nil {
 			return err
 		}
 		link = mixed(ctx, cfg, partners, link)
 	}
+	decider := func(_ int, set cloverhook.Settings, seed uint64) cloverhook.Decider { return cloverhook.New(set, seed) }
+	var saves sync.WaitGroup
+	if files.state != "" {
+		state, err := config.LoadState(files.state)
+		if err != nil {
+			return err
+		}
+		keep := keeper.Open(keeper.Options{Folder: state.Folder, Interval: state.Interval, Instance: cfg.Name,
+			Settings: cfg.Fingerprint(), Seed: cfg.Seed, Log: log})
+		decider = func(_ int, set cloverhook.Settings, seed uint64) cloverhook.Decider {
+			return keep.Watch(cloverhook.New(set, seed))
+		}
+		saves.Go(func() { keep.Run(ctx) })
+	}
 	var died <-chan struct{} // nil, which never speaks, with one loop: its panic ends the process
-	if coresFile == "" {
+	if files.cores == "" {
 		core = broker.New(broker.Options{Settings: cfg.Settings, OpenCap: cfg.OpenCap, Log: log},
-			cloverhook.New(cfg.Settings, cfg.Seed), link)
+			decider(0, cfg.Settings, cfg.Seed), link)
 	} else {
 		group := cores.New(cores.Options{
-			Workers: workers, Settings: cfg.Settings, OpenCap: cfg.OpenCap, Seed: cfg.Seed, Log: log,
+			Workers: workers, Settings: cfg.Settings, OpenCap: cfg.OpenCap, Seed: cfg.Seed, Log: log, Decider: decider,
 		}, link)
 		core, died = group, group.Failed()
 		log.Info("several cores", "workers", workers, "processors", runtime.NumCPU())
@@ -175,6 +201,8 @@
 	}
 	ends.Wait()
 	core.Drain(ctx)
+	cancel()
+	saves.Wait() // the last save
 	return why
 }
 
--- a/cmd/mothrouter/operate_test.go
+++ b/cmd/mothrouter/operate_test.go
@@ -23,6 +23,12 @@
 }
 
 func operate(t *testing.T, env []string, files []*os.File, listen string) *operated {
+	return operateAll(t, env, files, listen, nil)
+}
+
+func operateWith(t *testing.T, flags []string) *operated { return operateAll(t, nil, nil, "", flags) }
+
+func operateAll(t *testing.T, env []string, files []*os.File, listen string, flags []string) *operated {
 	o := &operated{player: newPlayer(t), control: unused(t)}
 	directory, server := o.listener("discovery"), o.listener("s1")
 	t.Cleanup(func() { directory.Close(); server.Close() })
@@ -44,7 +50,7 @@
 		"known":{"version":41,"full":true,"servers":[%s]},"settings":%s}`, o.listen, directory.Addr(), o.control,
 		o.entry("s1", "active"), fmt.Sprintf(profile, 15., 400))
 	require.NoError(t, os.WriteFile(o.config, []byte(text), 0o600))
-	o.cmd = exec.Command(program)
+	o.cmd = exec.Command(program, flags...)
 	o.cmd.Env = append(append(os.Environ(), "PROXY_CONFIG="+o.config), env...)
 	o.cmd.ExtraFiles = files
 	o.cmd.Stdout, o.cmd.Stderr = &o.log, &o.log
--- /dev/null
+++ b/cmd/mothrouter/state.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"cloverhook"
+	"cloverhook/internal/keeper"
+	"cloverhook/internal/recovery"
+	"cloverhook/internal/snapshot"
+)
+
+// stateCommand is `mothrouter state`: what on-call staff do with the file of what was learned.
+func stateCommand() *cobra.Command {
+	root := &cobra.Command{
+		Use: "mothrouter", SilenceUsage: true, SilenceErrors: true,
+		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
+	}
+	state := &cobra.Command{Use: "state", Short: "Look at what a broker has learned and keeps over restarts"}
+	root.AddCommand(state)
+	state.AddCommand(&cobra.Command{
+		Use: "inspect FOLDER", Short: "Show the file's head and what it holds of each server", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			s, size, err := readState(args[0])
+			if err != nil {
+				return err
+			}
+			now := float64(time.Now().UnixNano()) / 1e9
+			out := c.OutOrStdout()
+			fmt.Fprintf(out, "broker %s, settings %016x, %d bytes, written %.1f s ago\n", s.Instance, s.Settings, size, now-s.Written)
+			if why := recovery.Stale(s, now); why != "" {
+				fmt.Fprintln(out, "a start would be blank:", why)
+			}
+			fmt.Fprintf(out, "a part takes %.1f ms, a warm server answers %.2f parts a second to this broker\n", 1000*s.Pace, s.Peak)
+			fmt.Fprintf(out, "%-24s %-10s %-9s %-8s %s\n", "server", "started", "pace ms", "failed", "report")
+			for _, v := range s.Servers {
+				started, report := "long ago", "-"
+				if v.Started > 0 {
+					started = fmt.Sprintf("%.0f s", now-v.Started)
+				}
+				if v.LoadAt > 0 {
+					report = fmt.Sprintf("%.1f s old", now-v.LoadAt)
+					if v.Load.Busy != cloverhook.NoLoad.Busy {
+						report += fmt.Sprintf(", busy %.0f %%", 100*v.Load.Busy)
+					}
+				}
+				fmt.Fprintf(out, "%-24s %-10s %-9.1f %-8s %s\n", v.ID, started, 1000*v.Pace, fmt.Sprintf("%.0f %%", 100*v.Failed), report)
+			}
+			return nil
+		},
+	}, &cobra.Command{
+		Use: "verify FOLDER", Short: "Tell whether the file is whole; ends with status 1 if not", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			s, size, err := readState(args[0])
+			if err == nil {
+				fmt.Fprintf(c.OutOrStdout(), "whole: %d bytes, %d servers\n", size, len(s.Servers))
+			}
+			return err
+		},
+	}, &cobra.Command{
+		Use: "delete FOLDER", Short: "Delete the file, and one that was set aside: the next start is blank", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			for _, name := range []string{keeper.FileName, keeper.AsideName} {
+				err := os.Remove(filepath.Join(args[0], name))
+				if err == nil {
+					fmt.Fprintln(c.OutOrStdout(), "deleted", name)
+				} else if !errors.Is(err, fs.ErrNotExist) {
+					return err
+				}
+			}
+			return nil
+		},
+	})
+	return root
+}
+
+func readState(folder string) (*snapshot.Snapshot, int, error) {
+	b, err := keeper.Disk{}.Read(filepath.Join(folder, keeper.FileName))
+	if err != nil {
+		return nil, 0, err
+	}
+	s, err := snapshot.Decode(b)
+	return s, len(b), err
+}
--- /dev/null
+++ b/cmd/mothrouter/state_test.go
@@ -0,0 +1,115 @@
+package main_test
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// stateFile writes an operator file that keeps state in a folder.
+func stateFile(t *testing.T, folder string) string {
+	path := filepath.Join(t.TempDir(), "state.toml")
+	require.NoError(t, os.WriteFile(path, fmt.Appendf(nil, "folder = %q\ninterval_s = 0.5\n", folder), 0o600))
+	return path
+}
+
+func state(t *testing.T, args ...string) (string, error) {
+	out, err := exec.Command(program, append([]string{"state"}, args...)...).CombinedOutput()
+	return string(out), err
+}
+
+// What a broker has learned is there for the next one, with one loop and with several, and the commands show it.
+func TestLearnedStateLastsOverARestart(t *testing.T) {
+	for _, cores := range []bool{false, true} {
+		t.Run(fmt.Sprint("several cores ", cores), func(t *testing.T) {
+			t.Parallel()
+			folder := t.TempDir()
+			flags := []string{"-state", stateFile(t, folder)}
+			if cores {
+				flags = append(flags, "-cores", "../../deploy/cores.toml")
+			}
+			first := operateWith(t, flags)
+			require.Contains(t, first.log.String(), "nothing learned was found")
+			for n := range 20 {
+				require.Contains(t, first.dial().asks(query(fmt.Sprint("s", n))), " 200 ")
+			}
+			require.NoError(t, first.cmd.Process.Signal(syscall.SIGTERM))
+			require.NoError(t, first.cmd.Wait())
+			out, err := state(t, "verify", folder)
+			require.NoError(t, err, out)
+			require.Contains(t, out, "1 servers")
+			out, err = state(t, "inspect", folder)
+			require.NoError(t, err, out)
+			require.Contains(t, out, "broker n1")
+			require.Contains(t, out, "s1 ")
+			second := operateWith(t, flags)
+			require.Contains(t, second.log.String(), "what was learned is taken up")
+			require.Contains(t, second.dial().asks(query("again")), " 200 ")
+			require.NoError(t, second.cmd.Process.Kill())
+			second.cmd.Wait()
+
+			path := filepath.Join(folder, "learned.moth")
+			b, err := os.ReadFile(path)
+			require.NoError(t, err)
+			require.NoError(t, os.WriteFile(path, b[:len(b)-1], 0o600))
+			out, err = state(t, "verify", folder)
+			require.Error(t, err)
+			require.Contains(t, out, "torn")
+			third := operateWith(t, flags)
+			require.Contains(t, third.log.String(), "torn")
+			require.Contains(t, third.dial().asks(query("blank")), " 200 ")
+			require.Contains(t, first.log.String()+third.log.String(), "start is blank")
+			_, err = state(t, "delete", folder)
+			require.NoError(t, err)
+			require.NoFileExists(t, filepath.Join(folder, "learned.moth.bad"))
+		})
+	}
+}
+
+// SIGTERM while it saves, at any moment: the file is whole.
+func TestSigtermDuringASave(t *testing.T) {
+	t.Parallel()
+	folder := t.TempDir()
+	flags := []string{"-state", stateFile(t, folder)}
+	for i := range 3 {
+		o := operateWith(t, flags)
+		require.Contains(t, o.dial().asks(query("q")), " 200 ")
+		time.Sleep(time.Duration(350+50*i) * time.Millisecond) // the first save is due after 375 to 625 ms
+		require.NoError(t, o.cmd.Process.Signal(syscall.SIGTERM))
+		require.NoError(t, o.cmd.Wait())
+		out, err := state(t, "verify", folder)
+		require.NoError(t, err, out)
+	}
+}
+
+func TestABadStateFileIsRefusedByKey(t *testing.T) {
+	t.Parallel()
+	for text, want := range map[string]string{
+		"":                               "state.folder: is missing",
+		"folder = \"/x\"\ninterval_s=0":  "state.interval_s: 0",
+		"folder = \"/x\"\ninterval_s=-5": "state.interval_s: -5",
+		"folder = \"/x\"\nspeed=1":       "state.speed: is not known",
+	} {
+		p := newPlayer(t)
+		p.config = filepath.Join(t.TempDir(), "config.json")
+		config := fmt.Sprintf(`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","settings":%s}`, fmt.Sprintf(profile, 15., 400))
+		require.NoError(t, os.WriteFile(p.config, []byte(config), 0o600))
+		path := filepath.Join(t.TempDir(), "state.toml")
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		cmd := exec.Command(program, "-state", path)
+		cmd.Env = append(os.Environ(), "PROXY_CONFIG="+p.config)
+		out, err := cmd.CombinedOutput()
+		require.Error(t, err)
+		require.Contains(t, string(out), want)
+	}
+	out, err := state(t, "inspect", t.TempDir())
+	require.Error(t, err)
+	require.True(t, strings.HasPrefix(out, "mothrouter: "), out)
+}
--- /dev/null
+++ b/internal/keeper/keeper_test.go
@@ -0,0 +1,355 @@
+package keeper
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cloverhook"
+	"cloverhook/internal/snapshot"
+)
+
+// TestMain is also the process that is killed: one that does nothing but save, as fast as it can.
+func TestMain(m *testing.M) {
+	if folder := os.Getenv("KEEPER_SAVES_IN"); folder != "" {
+		k := Open(Options{Folder: folder, Interval: time.Hour, Instance: "n1", Settings: 7, Log: slog.New(slog.DiscardHandler)})
+		for n := 0; ; n++ {
+			teach(k, 1+n%200)
+			k.Save()
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// teach has a keeper learn of so many servers.
+func teach(k *Keeper, servers int) {
+	w := k.Watch(deaf{})
+	now := float64(time.Now().UnixNano()) / 1e9
+	l := cloverhook.List{Mode: cloverhook.ListFull}
+	events := []cloverhook.Event{nil}
+	for i := range servers {
+		id := fmt.Sprintf("s-%08x", i)
+		l.Servers = append(l.Servers, cloverhook.Server{ID: id})
+		events = append(events, cloverhook.Ended{Server: id, Latency: 0.01, Load: cloverhook.Load{Busy: 0.5}})
+	}
+	events[0] = l
+	w.Handle(now, events)
+}
+
+type deaf struct{}
+
+func (deaf) Handle(float64, []cloverhook.Event) []cloverhook.Action { return nil }
+
+type text struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (t *text) Write(p []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.b.Write(p)
+}
+
+func (t *text) count(s string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return strings.Count(t.b.String(), s)
+}
+
+func open(folder string, files Files) (*Keeper, *text) {
+	var out text
+	return Open(Options{Folder: folder, Interval: 20 * time.Millisecond, Instance: "n1", Settings: 7, Files: files,
+		Log: slog.New(slog.NewTextHandler(&out, nil))}), &out
+}
+
+func TestWhatWasSavedIsTakenUp(t *testing.T) {
+	folder := t.TempDir()
+	k, out := open(folder, nil)
+	require.Equal(t, 1, out.count("start is blank"))
+	teach(k, 20)
+	ctx, cancel := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	all.Go(func() { k.Run(ctx) })
+	require.Eventually(t, func() bool { _, err := os.Stat(filepath.Join(folder, FileName)); return err == nil }, time.Second, time.Millisecond)
+	teach(k, 40)
+	cancel() // a clean end saves once more, also while a save is under way
+	all.Wait()
+	k, out = open(folder, nil)
+	require.NotNil(t, k.found)
+	require.Len(t, k.found.Servers, 40)
+	require.Equal(t, 1, out.count("is taken up"))
+	var heard int
+	w := k.Watch(listener(func(events []cloverhook.Event) {
+		for _, e := range events {
+			if h, ok := e.(cloverhook.Heard); ok && h.Load.Busy == 0.5 {
+				heard++
+			}
+		}
+	}))
+	list := cloverhook.List{Mode: cloverhook.ListCached, Servers: []cloverhook.Server{{ID: "s-00000001"}, {ID: "s-00000002", Started: 5}}}
+	for range 2 {
+		w.Handle(k.now(), []cloverhook.Event{list})
+	}
+	require.Equal(t, 1, heard, "once, and of the same process only")
+}
+
+type listener func([]cloverhook.Event)
+
+func (l listener) Handle(_ float64, events []cloverhook.Event) []cloverhook.Action {
+	l(events)
+	return nil
+}
+
+// Kill -9 while it saves, a thousand times: no start reads a torn file, and none finds nothing once one was there.
+func TestAThousandKillsWhileSaving(t *testing.T) {
+	folder := t.TempDir()
+	rng := rand.New(rand.NewPCG(1, 2))
+	deadline := time.Now().Add(40 * time.Second)
+	kills, whole := 0, 0
+	for ; kills < 1000 && time.Now().Before(deadline); kills++ {
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), "KEEPER_SAVES_IN="+folder, "GOMAXPROCS=1")
+		require.NoError(t, cmd.Start())
+		time.Sleep(time.Duration(4+rng.IntN(16)) * time.Millisecond)
+		require.NoError(t, cmd.Process.Kill())
+		cmd.Wait()
+		b, err := Disk{}.Read(filepath.Join(folder, FileName))
+		if errors.Is(err, os.ErrNotExist) {
+			require.Zero(t, whole, "a file that was there is gone")
+			continue
+		}
+		require.NoError(t, err)
+		_, err = snapshot.Decode(b)
+		require.NoError(t, err, "after %d kills", kills)
+		whole++
+	}
+	t.Logf("%d kills, a whole file after %d of them", kills, whole)
+	require.Greater(t, whole, kills/2)
+	k, _ := open(folder, nil)
+	require.NotNil(t, k.found)
+	left, err := os.ReadDir(folder)
+	require.NoError(t, err)
+	require.Len(t, left, 2, "the file and the lock: what was half written is swept up")
+}
+
+// cut is a file layer that loses power: a replacement reaches the disk in steps, and stops after some.
+type cut struct {
+	Disk
+	steps int  // what still reaches the disk: bytes of the new file, then the rename
+	whole bool // all bytes did
+	torn  bool // the layer renames before the bytes are there, as one without a sync may
+}
+
+var errPower = errors.New("the power is gone")
+
+func (c *cut) Replace(path string, b []byte) error {
+	n := min(c.steps, len(b))
+	c.whole = n == len(b)
+	temp := path + ".tmp"
+	if c.torn {
+		temp = path
+	}
+	if err := os.WriteFile(temp, b[:n], 0o600); err != nil {
+		return err
+	}
+	if c.steps <= len(b) {
+		return errPower
+	}
+	return os.Rename(temp, path)
+}
+
+// Every boundary of a write is cut. With a layer that keeps the order of things the old file is still there; with one
+// that does not, the torn file is found out, set aside, and the start is blank.
+func TestAWriteCutAtEveryBoundary(t *testing.T) {
+	for _, torn := range []bool{false, true} {
+		for steps := 0; ; steps++ {
+			folder := t.TempDir()
+			k, _ := open(folder, nil)
+			teach(k, 1)
+			require.NoError(t, k.Save())
+			old, err := os.ReadFile(filepath.Join(folder, FileName))
+			require.NoError(t, err)
+			k.lock.Close()
+			layer := &cut{steps: steps, torn: torn}
+			k, _ = open(folder, layer)
+			teach(k, 2)
+			err = k.Save()
+			k.lock.Close()
+			if err == nil {
+				break
+			}
+			k, out := open(folder, nil)
+			if torn && layer.whole {
+				require.Len(t, k.found.Servers, 2)
+			} else if torn {
+				require.Nil(t, k.found, "cut at %d", steps)
+				require.Equal(t, 1, out.count("cannot be used"))
+				require.FileExists(t, filepath.Join(folder, AsideName))
+				require.NoFileExists(t, filepath.Join(folder, FileName))
+			} else {
+				require.NotNil(t, k.found, "cut at %d", steps)
+				require.Len(t, k.found.Servers, 1)
+			}
+			k.lock.Close()
+			require.Less(t, steps, 3*len(old))
+		}
+	}
+}
+
+func TestFilesThatCannotBeUsedAreSetAside(t *testing.T) {
+	good, err := snapshot.Encode(&snapshot.Snapshot{Written: float64(time.Now().Unix()), Instance: "n1", Settings: 7})
+	require.NoError(t, err)
+	other, err := snapshot.Encode(&snapshot.Snapshot{Written: float64(time.Now().Unix()), Instance: "n1", Settings: 8})
+	require.NoError(t, err)
+	newer := append([]byte{}, good...)
+	newer[9] = 9
+	for why, b := range map[string][]byte{
+		"no snapshot": []byte("hello"), "torn": good[:len(good)-1], "too large": make([]byte, snapshot.Most+10),
+		"of another version": newer, "of another broker or fleet": other,
+	} {
+		folder := t.TempDir()
+		require.NoError(t, os.WriteFile(filepath.Join(folder, FileName), b, 0o600))
+		k, out := open(folder, nil)
+		require.Nil(t, k.found)
+		require.Equal(t, 1, out.count(why), why)
+		require.FileExists(t, filepath.Join(folder, AsideName))
+		teach(k, 3)
+		require.NoError(t, k.Save())
+	}
+}
+
+// full is a file layer on which nothing can be written for a while.
+type full struct {
+	Disk
+	mu  sync.Mutex
+	err error
+}
+
+func (f *full) Replace(path string, b []byte) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.err != nil {
+		return f.err
+	}
+	return f.Disk.Replace(path, b)
+}
+
+func TestAFullOrReadOnlyFolderIsToldOnce(t *testing.T) {
+	for _, err := range []error{syscall.ENOSPC, syscall.EROFS} {
+		layer := &full{err: err}
+		k, out := open(t.TempDir(), layer)
+		teach(k, 3)
+		for range 20 {
+			require.ErrorIs(t, k.Save(), err)
+		}
+		require.Equal(t, 1, out.count("cannot be saved"))
+		layer.err = nil
+		require.NoError(t, k.Save())
+		require.NoError(t, k.Save())
+		require.Equal(t, 1, out.count("saved again"))
+	}
+}
+
+func TestTwoProcessesInOneFolder(t *testing.T) {
+	folder := t.TempDir()
+	first, _ := open(folder, nil)
+	teach(first, 3)
+	require.NoError(t, first.Save())
+	second, out := open(folder, nil) // takes over while the first still runs: it reads, and does not write
+	require.NotNil(t, second.found)
+	require.Equal(t, 1, out.count("another process writes"))
+	teach(second, 9)
+	for range 5 {
+		require.Error(t, second.Save())
+	}
+	require.Equal(t, 1, out.count("another process writes"))
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	first.Run(ctx) // its clean end
+	require.NoError(t, second.Save())
+	require.Equal(t, 1, out.count("saved again"))
+	third, _ := open(folder, nil)
+	require.Len(t, third.found.Servers, 9)
+}
+
+func TestAFolderThatDisappearsAndComesBack(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "state")
+	k, out := open(folder, nil) // not there yet
+	teach(k, 3)
+	require.Error(t, k.Save())
+	require.NoError(t, os.Mkdir(folder, 0o700))
+	require.NoError(t, k.Save())
+	require.NoError(t, os.RemoveAll(folder))
+	for range 5 {
+		require.Error(t, k.Save())
+	}
+	require.Equal(t, 2, out.count("cannot be used"), "once for each time")
+	require.NoError(t, os.Mkdir(folder, 0o700))
+	other, _ := open(folder, nil)
+	require.NotNil(t, other.lock)
+	require.Error(t, k.Save(), "the new folder has a writer: the old lock guards nothing")
+	other.lock.Close()
+	require.NoError(t, k.Save())
+}
+
+// A disk that hangs holds up the save, not the loop.
+type stuck struct {
+	Disk
+	entered, free chan struct{}
+}
+
+func (s *stuck) Replace(string, []byte) error {
+	close(s.entered)
+	<-s.free
+	return nil
+}
+
+func TestADiskThatHangsDoesNotStallTheLoop(t *testing.T) {
+	layer := &stuck{entered: make(chan struct{}), free: make(chan struct{})}
+	k, _ := open(t.TempDir(), layer)
+	teach(k, 200)
+	go k.Save()
+	<-layer.entered
+	began := time.Now()
+	for range 100 {
+		teach(k, 200)
+	}
+	require.Less(t, time.Since(began), 2*time.Second)
+	close(layer.free)
+}
+
+func BenchmarkLearn(b *testing.B) {
+	k, _ := open(b.TempDir(), nil)
+	teach(k, 200)
+	w := k.Watch(deaf{})
+	events := []cloverhook.Event{cloverhook.Ended{Server: "s-00000001", Latency: 0.01, Load: cloverhook.Load{Busy: 0.5}}}
+	b.ReportAllocs()
+	for i := range b.N {
+		w.Handle(float64(i)/1000, events)
+	}
+}
+
+func BenchmarkSave200(b *testing.B) {
+	k, _ := open(b.TempDir(), nil)
+	teach(k, 200)
+	b.ReportAllocs()
+	for range b.N {
+		if err := k.Save(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/keeper/restart_test.go
@@ -0,0 +1,178 @@
+package keeper
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"cloverhook"
+	"cloverhook/internal/broker"
+	"cloverhook/internal/standin"
+	"cloverhook/internal/upstream"
+)
+
+var measureSeeds = flag.Int("measure", 0, "seeds of the measurement of restarts, blank against restored; 0: only a small one that is checked")
+
+const (
+	restartServers = 60
+	restartAim     = 0.15
+	restartRate    = 60 // queries a second, of four parts each that must not run twice: thin traffic, and each bad server met costs a query
+)
+
+var restartSettings = cloverhook.Settings{
+	Cells: restartServers, Reach: 2, MaxAttempts: 4, MayCancel: true, Mixers: 2, ReportMode: cloverhook.ReportPiggyback,
+	Tick: 0.005, ColdShare: 0.2, WarmUp: 8, FallMultiple: 2.5, FallTime: 1.5,
+	Classes: []cloverhook.Class{{Aim: restartAim, Deadline: 0.4, Worth: 1, Need: 1, Floor: 1},
+		{Aim: restartAim, Deadline: 0.4, Worth: 2, Need: 1, Floor: 1, Repeat: cloverhook.RepeatUnsafe}},
+}
+
+type reply chan broker.Result
+
+func (r reply) Finish(res broker.Result) { r <- res }
+
+// life runs one broker on a fleet for a time under a steady load, and tells for each 100 ms what share was served.
+func life(fleet *standin.Fleet, k *Keeper, seed uint64, d time.Duration) []float64 {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	link := upstream.New(ctx, upstream.Options{Streams: 100, Idle: 15 * time.Second, ConnectTimeout: 250 * time.Millisecond})
+	b := broker.New(broker.Options{Settings: restartSettings, Log: slog.New(slog.NewTextHandler(io.Discard, nil))},
+		k.Watch(cloverhook.New(restartSettings, seed)), link)
+	go b.Run(ctx)
+	b.Update(broker.List{Mode: cloverhook.ListCached, Servers: fleet.Entries()})
+	const bin = 100 * time.Millisecond
+	asked, served := make([]float64, d/bin+1), make([]float64, d/bin+1)
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	begin := time.Now()
+	rng := rand.New(rand.NewPCG(seed, 9))
+	for n := 0; ; n++ {
+		due := time.Duration(float64(n) / restartRate * float64(time.Second))
+		if due >= d {
+			break
+		}
+		time.Sleep(time.Until(begin.Add(due)))
+		q := &broker.Request{ID: fmt.Sprintf("q%d-%d", seed, n), Class: 1, Arrived: time.Now(), Patience: 400 * time.Millisecond, Text: []byte("x")}
+		from := rng.IntN(restartServers)
+		for i := range 4 {
+			q.Parts = append(q.Parts, broker.Part{Shard: (from + i) % restartServers, Share: 0.25})
+		}
+		asked[due/bin]++
+		all.Go(func() {
+			r := make(reply, 1)
+			b.Take(q, r)
+			if res := <-r; res.Outcome == broker.Answered && time.Since(q.Arrived).Seconds() <= restartAim {
+				mu.Lock()
+				served[due/bin]++
+				mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	for i := range served {
+		served[i] /= math.Max(asked[i], 1)
+	}
+	return served[:d/bin]
+}
+
+// restart is what one play of a restart showed.
+type restart struct {
+	full float64 // seconds after which half a second is served but for a twentieth
+	lost float64 // queries lost in the first two seconds
+	cold float64 // worst 1.5 s at the server that is cold, as a share of what would push it over
+}
+
+// faults puts a fleet in trouble: of every ten servers one hangs and one is slow, beyond the aim but alive, so that
+// what was sent there is not sent again. Each shard keeps a holder that is neither.
+func faults(f *standin.Fleet, hang, slow int) {
+	for i, s := range f.Servers {
+		s.Hang(i%10 == hang)
+		s.Work(map[bool]time.Duration{true: 300 * time.Millisecond, false: 4 * time.Millisecond}[i%10 == slow])
+	}
+}
+
+// play teaches one broker, ends it, and lets the next begin blank or with what the first has learned. Stale: while
+// none ran, the trouble went to other servers.
+func play(t testing.TB, seed uint64, restored, stale bool) (r restart) {
+	fleet, err := standin.New(standin.Options{Servers: restartServers, Reach: 2, Work: 4 * time.Millisecond, Seed: seed})
+	require.NoError(t, err)
+	defer fleet.Close()
+	folder := t.TempDir()
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	opt := Options{Folder: folder, Interval: time.Hour, Instance: "n", Log: log}
+	k := Open(opt)
+	faults(fleet, 1, 6)
+	life(fleet, k, seed, 4*time.Second)
+	require.NoError(t, k.Save())
+	k.lock.Close()
+	if stale {
+		faults(fleet, 4, 9)
+	}
+	fresh := fleet.Servers[8]
+	fresh.Restart()
+	before := fleet.Servers[3].Arrived()
+	if !restored {
+		opt.Folder = t.TempDir()
+	}
+	k = Open(opt)
+	require.Equal(t, restored, k.found != nil)
+	const d = 2500 * time.Millisecond
+	shares := life(fleet, k, seed+1000, d)
+	for r.full = 0; r.full < 2; r.full += 0.1 {
+		from := int(r.full*10 + 0.5)
+		if stat.Mean(shares[from:from+5], nil) >= 0.95 {
+			break
+		}
+	}
+	r.lost = 2 * restartRate * (1 - stat.Mean(shares[:20], nil))
+	warm := float64(fleet.Servers[3].Arrived()-before) / d.Seconds() // a lower bound of a server's capacity
+	r.cold = float64(fresh.Worst(1500*time.Millisecond)) / (2.5 * (0.2 + 0.8*2/8) * warm * 1.5)
+	broken, _ := fleet.Broken()
+	require.Empty(t, broken)
+	return r
+}
+
+// TestARestoredBrokerServesSooner plays restarts, blank and restored in turns. In CI it plays one, and checks only
+// what is clear; `go test ./internal/keeper -run Sooner -v -measure 8` prints the tables of docs/recovery.md.
+func TestARestoredBrokerServesSooner(t *testing.T) {
+	if *measureSeeds == 0 {
+		blank, restored := play(t, 1, false, false), play(t, 1, true, false)
+		require.Less(t, restored.lost, blank.lost)
+		require.Less(t, math.Max(blank.cold, restored.cold), 1.0)
+		return
+	}
+	var out strings.Builder
+	for _, stale := range []bool{false, true} {
+		var all [2][3][]float64
+		for seed := range *measureSeeds {
+			for i, restored := range []bool{false, true} {
+				r := play(t, uint64(seed+1), restored, stale)
+				for j, v := range []float64{r.full, r.lost, r.cold} {
+					all[i][j] = append(all[i][j], v)
+				}
+			}
+		}
+		fmt.Fprintf(&out, "stale: %v, %d seeds\n| start | s to full service | lost of 120 in the first 2 s | load on the cold server, of its limit |\n| --- | --- | --- | --- |\n", stale, *measureSeeds)
+		for i, name := range []string{"blank", "restored"} {
+			fmt.Fprintf(&out, "| %s | %s | %s | %s |\n", name, interval(all[i][0]), interval(all[i][1]), interval(all[i][2]))
+		}
+	}
+	t.Log("\n" + out.String())
+}
+
+func interval(x []float64) string {
+	mean, sd := stat.MeanStdDev(x, nil)
+	q := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: float64(len(x) - 1)}.Quantile(0.975)
+	return fmt.Sprintf("%.2f ± %.2f", mean, q*sd/math.Sqrt(float64(len(x))))
+}
--- /dev/null
+++ b/internal/recovery/recovery_test.go
@@ -0,0 +1,233 @@
+package recovery_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"cloverhook"
+	"cloverhook/internal/recovery"
+	"cloverhook/internal/snapshot"
+)
+
+// taught is a snapshot written at 1000 by one that saw a quick, a slow and a failing server, and one that is cold.
+func taught() *snapshot.Snapshot {
+	l := recovery.NewLearner()
+	l.List(cloverhook.List{Mode: cloverhook.ListFull, Servers: []cloverhook.Server{
+		{ID: "quick"}, {ID: "slow"}, {ID: "fails"}, {ID: "cold", Started: 995}, {ID: "left"}}})
+	for i := range 100 {
+		now := 990 + 0.1*float64(i)
+		l.Saw(now, "quick", cloverhook.OK, 0.01, cloverhook.Load{Busy: 0.2})
+		l.Saw(now, "slow", cloverhook.OK, 0.08, cloverhook.NoLoad)
+		l.Saw(now, "fails", cloverhook.Error, 0.001, cloverhook.NoLoad)
+		l.Saw(now, "cold", cloverhook.OK, 0.02, cloverhook.NoLoad)
+		l.Saw(now, "left", cloverhook.OK, 0.02, cloverhook.NoLoad)
+		l.Saw(now, "unheard-of", cloverhook.OK, 0.02, cloverhook.NoLoad)
+	}
+	return l.Snapshot(1000)
+}
+
+var list = []cloverhook.Server{{ID: "quick"}, {ID: "slow"}, {ID: "fails"}, {ID: "cold", Started: 995}}
+
+func restored(s *snapshot.Snapshot, list []cloverhook.Server, now float64) (m map[string]cloverhook.Heard, fleet *cloverhook.Remembered) {
+	m = map[string]cloverhook.Heard{}
+	for _, e := range recovery.Restore(s, list, now) {
+		switch e := e.(type) {
+		case cloverhook.Heard:
+			m[e.Server] = e
+		case cloverhook.Remembered:
+			fleet = &e
+		}
+	}
+	return m, fleet
+}
+
+func TestWhatIsFreshIsWorthMuch(t *testing.T) {
+	s := taught()
+	require.Len(t, s.Servers, 5, "nothing of a server that no list named")
+	m, fleet := restored(s, list, 1001)
+	require.NotNil(t, fleet)
+	require.InDelta(t, s.Peak, fleet.Peak, 0.05*s.Peak)
+	require.Zero(t, m["quick"].Pace, "that it was quick is not told")
+	require.Greater(t, m["slow"].Pace, 0.06)
+	require.Greater(t, m["fails"].Failed*m["fails"].Weight, 0.9)
+	require.Zero(t, m["slow"].Weight)
+	require.Equal(t, 0.2, m["quick"].Load.Busy)
+	require.NotContains(t, m, "left", "no longer on the list")
+}
+
+// A belief that a server is well fades faster than one that it is ill.
+func TestWellFadesFasterThanIll(t *testing.T) {
+	s := taught()
+	m, fleet := restored(s, list, 1020)
+	require.NotContains(t, m, "quick", "its report is worth no word any more")
+	require.Greater(t, m["slow"].Pace, s.Pace)
+	require.InDelta(t, 0.5, m["fails"].Weight, 0.02)
+	require.Less(t, fleet.Peak, 0.7*s.Peak)
+	m, fleet = restored(s, list, 1200)
+	require.Empty(t, m)
+	require.Nil(t, fleet)
+}
+
+// Nothing holds of a server that has started since, has gone cold, drains, or came back as another process.
+func TestNothingHoldsOfAnotherProcess(t *testing.T) {
+	s := taught()
+	for what, e := range map[string]cloverhook.Server{
+		"restarted":               {ID: "slow", Started: 1000.5},
+		"back under its old name": {ID: "cold", Started: 1001},
+		"of an older start":       {ID: "cold", Started: 900},
+		"drains":                  {ID: "slow", State: cloverhook.Draining},
+		"gone":                    {ID: "slow", State: cloverhook.Gone},
+	} {
+		m, _ := restored(s, []cloverhook.Server{e}, 1001)
+		require.Empty(t, m, what)
+	}
+	l := recovery.NewLearner() // nor while it learns
+	l.List(cloverhook.List{Mode: cloverhook.ListFull, Servers: []cloverhook.Server{{ID: "a"}, {ID: "b"}}})
+	l.Saw(10, "a", cloverhook.OK, 0.01, cloverhook.NoLoad)
+	l.Saw(10, "b", cloverhook.OK, 0.01, cloverhook.NoLoad)
+	l.List(cloverhook.List{Servers: []cloverhook.Server{{ID: "a", Started: 11}, {ID: "b", State: cloverhook.Gone}}})
+	require.Empty(t, l.Snapshot(12).Servers)
+}
+
+// A server that hangs is remembered by what was given up there; a slow one that answers meanwhile is not ill for it.
+func TestAHangIsRemembered(t *testing.T) {
+	l := recovery.NewLearner()
+	l.List(cloverhook.List{Mode: cloverhook.ListFull, Servers: []cloverhook.Server{{ID: "well"}, {ID: "hangs"}, {ID: "slow"}}})
+	for i := range 30 {
+		now := 100 + 0.1*float64(i)
+		l.Saw(now, "well", cloverhook.OK, 0.01, cloverhook.NoLoad)
+		l.Saw(now, "slow", cloverhook.OK, 0.2, cloverhook.NoLoad)
+		l.Saw(now+0.01, "slow", cloverhook.Cancelled, 0.2, cloverhook.NoLoad)
+		l.Saw(now, "hangs", cloverhook.TimedOut, 0.4, cloverhook.NoLoad)
+		l.Saw(now, "well", cloverhook.Cancelled, 0.005, cloverhook.NoLoad) // no longer needed
+	}
+	m, _ := restored(l.Snapshot(103), []cloverhook.Server{{ID: "well"}, {ID: "hangs"}, {ID: "slow"}}, 103.5)
+	require.Greater(t, m["hangs"].Weight*m["hangs"].Failed, 0.9)
+	require.Zero(t, m["slow"].Weight)
+	require.Zero(t, m["well"].Weight)
+}
+
+func TestClocksThatLie(t *testing.T) {
+	s := taught()
+	require.NotEmpty(t, recovery.Stale(s, 990), "the clock went back")
+	require.Empty(t, recovery.Restore(s, list, 990))
+	require.NotEmpty(t, recovery.Stale(s, 1000+recovery.MaxAge+1))
+	require.Empty(t, recovery.Stale(s, 999.8), "within what clocks differ")
+	s.Servers[0].FailedAt, s.Servers[0].PaceAt, s.Servers[0].LoadAt = 5000, 5000, 5000 // times from the future
+	for _, e := range recovery.Restore(s, list, 1100) {
+		if h, ok := e.(cloverhook.Heard); ok && h.Server == s.Servers[0].ID {
+			require.Equal(t, cloverhook.NoLoad, h.Load)
+			require.Less(t, h.Weight, 0.1)
+		}
+	}
+}
+
+// Whatever a file says and whenever it is read: weights and shares stay in bounds, only ready servers of the same
+// start are spoken of, no time lies in the future, and an older file is never worth more.
+func TestRestoreIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		num := func(name string) float64 { return rapid.Float64Range(0, 2000).Draw(t, name) }
+		s := &snapshot.Snapshot{Written: num("written"), Pace: num("pace"), Peak: num("peak")}
+		for _, id := range []string{"a", "b", "c"} {
+			s.Servers = append(s.Servers, snapshot.Server{ID: id, Started: num("started"), Pace: num("p"), PaceAt: num("pa"),
+				Failed: rapid.Float64Range(0, 1).Draw(t, "failed"), FailedAt: num("fa"), LoadAt: num("la"), Load: cloverhook.Load{Busy: 1}})
+		}
+		list := []cloverhook.Server{{ID: "a", Started: s.Servers[0].Started}, {ID: "b", Started: num("other")},
+			{ID: "c", Started: s.Servers[2].Started, State: cloverhook.Draining}}
+		now := num("now")
+		for _, e := range recovery.Restore(s, list, now) {
+			switch e := e.(type) {
+			case cloverhook.Remembered:
+				if !(e.Peak <= s.Peak && e.Pace == s.Pace) {
+					t.Fatalf("%+v of %+v", e, s)
+				}
+			case cloverhook.Heard:
+				same := e.Server == "a" || e.Server == "b" && list[1].Started == s.Servers[1].Started
+				if !same || e.Weight < 0 || e.Weight > 1 || e.Failed < 0 || e.Failed > 1 || e.At > now || e.LoadAt > now+0.5 || e.Pace < 0 {
+					t.Fatalf("%+v of %+v at %g", e, s, now)
+				}
+			}
+		}
+		young, _ := restored(s, list, s.Written+1)
+		old, _ := restored(s, list, s.Written+30)
+		for id, o := range old {
+			if y, ok := young[id]; ok && o.Weight > y.Weight {
+				t.Fatalf("%s is worth more when older: %+v, %+v", id, y, o)
+			}
+		}
+	})
+}
+
+// A server that was remembered as well or ill: the first news of its own outweighs either.
+func TestFirstNewsOutweighsMemory(t *testing.T) {
+	for _, remembered := range []float64{0.01, 0.3} {
+		set := cloverhook.Settings{Classes: []cloverhook.Class{{Aim: 1, Deadline: 2, Need: 1, Floor: 1}}, Mixers: 1, Cells: 1,
+			Reach: 1, BatchMax: 1, MaxAttempts: 3, Tick: 0.005, MayCancel: true}
+		news := cloverhook.List{Mode: cloverhook.ListFull, Servers: []cloverhook.Server{{ID: "a"}, {ID: "b"}}}
+		l := recovery.NewLearner()
+		l.List(news)
+		for i := range 50 {
+			l.Saw(100+0.1*float64(i), "a", cloverhook.OK, remembered, cloverhook.NoLoad)
+			l.Saw(100+0.1*float64(i), "b", cloverhook.OK, 0.02, cloverhook.NoLoad)
+		}
+		p, now := cloverhook.New(set, 3), 108.0
+		p.Handle(now, append([]cloverhook.Event{news}, recovery.Restore(l.Snapshot(105), news.Servers, now)...))
+		toA := 0
+		for i := range 200 { // now both take what the other took
+			now += 0.3
+			q := cloverhook.RequestID(10 * (i + 1))
+			for _, a := range p.Handle(now, []cloverhook.Event{cloverhook.Query{ID: q, Number: int64(q), Parts: 1, Deadline: now + 2},
+				cloverhook.Part{ID: q + 1, Number: int64(q), Weight: 1}}) {
+				if s, ok := a.(cloverhook.Send); ok {
+					latency := 0.02
+					if s.Server == "a" && remembered < 0.1 {
+						latency = 0.3
+					}
+					if s.Server == "a" {
+						toA++
+					}
+					now += latency
+					p.Handle(now, []cloverhook.Event{cloverhook.Ended{ID: s.ID, Server: s.Server, Latency: latency, Closed: true, Load: cloverhook.NoLoad}})
+				}
+			}
+		}
+		if remembered < 0.1 {
+			require.Less(t, toA, 30, "once quick, now slow")
+		} else {
+			require.Greater(t, toA, 60, "once slow, now as good as the other")
+		}
+	}
+}
+
+// In the middle of a fault of the whole fleet all servers look ill. A broker that remembers so still serves: what all
+// share tells nothing between two holders, and the first answers outweigh it.
+func TestAFleetWideFaultIsNotRememberedForLong(t *testing.T) {
+	set := cloverhook.Settings{Classes: []cloverhook.Class{{Aim: 1, Deadline: 2, Need: 1, Floor: 1}}, Mixers: 1, Cells: 1,
+		Reach: 1, BatchMax: 1, MaxAttempts: 3, Tick: 0.005, MayCancel: true}
+	l := recovery.NewLearner()
+	news := cloverhook.List{Mode: cloverhook.ListFull, Servers: []cloverhook.Server{{ID: "a"}, {ID: "b"}, {ID: "c"}}}
+	l.List(news)
+	for i := range 60 {
+		for _, s := range news.Servers {
+			l.Saw(100+0.1*float64(i), s.ID, cloverhook.Reset, 0.001, cloverhook.NoLoad)
+		}
+	}
+	p := cloverhook.New(set, 1)
+	now := 107.0
+	p.Handle(now, append([]cloverhook.Event{news}, recovery.Restore(l.Snapshot(106), news.Servers, now)...))
+	served := 0
+	for i := range 30 {
+		now += 0.02
+		q := cloverhook.RequestID(10 * (i + 1))
+		for _, a := range p.Handle(now, []cloverhook.Event{cloverhook.Query{ID: q, Number: int64(q), Parts: 1, Deadline: now + 2},
+			cloverhook.Part{ID: q + 1, Number: int64(q), Weight: 1}}) {
+			if s, ok := a.(cloverhook.Send); ok {
+				served++
+				p.Handle(now+0.01, []cloverhook.Event{cloverhook.Ended{ID: s.ID, Server: s.Server, Latency: 0.01, Closed: true, Load: cloverhook.NoLoad}})
+			}
+		}
+	}
+	require.GreaterOrEqual(t, served, 29)
+}
--- /dev/null
+++ b/internal/snapshot/snapshot_test.go
@@ -0,0 +1,123 @@
+package snapshot_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"cloverhook"
+	"cloverhook/internal/snapshot"
+)
+
+func example(servers int) *snapshot.Snapshot {
+	s := &snapshot.Snapshot{Written: 1000, Instance: "n3", Settings: 42, Pace: 0.02, Peak: 31}
+	for i := range servers {
+		v := snapshot.Server{ID: fmt.Sprintf("s-%08x", i), Started: float64(i % 3), Pace: 0.01, PaceAt: 990, Failed: 0.2,
+			FailedAt: 995, Load: cloverhook.NoLoad}
+		if i%2 == 0 {
+			v.Load, v.LoadAt = cloverhook.Load{InFlight: 3, Queue: -1, Busy: 0.4, Latency: -1, Rate: -1, ErrorRate: -1}, 999
+		}
+		s.Servers = append(s.Servers, v)
+	}
+	return s
+}
+
+func TestWhatIsWrittenIsRead(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := example(rapid.IntRange(0, 50).Draw(t, "servers"))
+		s.Written = rapid.Float64Range(0, 1e10).Draw(t, "written")
+		s.Instance = rapid.StringN(0, 20, -1).Draw(t, "instance")
+		s.Settings = rapid.Uint64().Draw(t, "settings")
+		b, err := snapshot.Encode(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := snapshot.Decode(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		require.Equal(t, s, got)
+	})
+	b, err := snapshot.Encode(example(200))
+	require.NoError(t, err)
+	require.Less(t, len(b), 24<<10)
+	t.Logf("a file of 200 servers has %d bytes", len(b))
+}
+
+// A file cut at any byte, or with any bit flipped, is refused.
+func TestDamagedFilesAreRefused(t *testing.T) {
+	b, err := snapshot.Encode(example(12))
+	require.NoError(t, err)
+	for n := range b {
+		_, err := snapshot.Decode(b[:n])
+		require.Error(t, err, "cut at %d of %d", n, len(b))
+	}
+	for i := range b {
+		for bit := range 8 {
+			b[i] ^= 1 << bit
+			_, err := snapshot.Decode(b)
+			require.Error(t, err, "bit %d of byte %d", bit, i)
+			b[i] ^= 1 << bit
+		}
+	}
+	_, err = snapshot.Decode(append(b, 0))
+	require.ErrorIs(t, err, snapshot.ErrTorn)
+	_, err = snapshot.Decode(nil)
+	require.ErrorIs(t, err, snapshot.ErrNoHead)
+	_, err = snapshot.Decode(make([]byte, snapshot.Most+1))
+	require.ErrorIs(t, err, snapshot.ErrTooLarge)
+	for _, v := range []uint16{0, 2, 65535} { // older and newer
+		other := append([]byte{}, b...)
+		binary.BigEndian.PutUint16(other[8:], v)
+		_, err = snapshot.Decode(other)
+		require.ErrorIs(t, err, snapshot.ErrVersion)
+	}
+}
+
+// What the checksum vouches for may still be nonsense.
+func TestContentIsChecked(t *testing.T) {
+	for what, change := range map[string]func(*snapshot.Snapshot){
+		"a time before time":  func(s *snapshot.Snapshot) { s.Written = -1 },
+		"no number":           func(s *snapshot.Snapshot) { s.Pace = math.NaN() },
+		"without end":         func(s *snapshot.Snapshot) { s.Peak = math.Inf(1) },
+		"a server twice":      func(s *snapshot.Snapshot) { s.Servers[1].ID = s.Servers[0].ID },
+		"a server of no name": func(s *snapshot.Snapshot) { s.Servers[0].ID = "" },
+		"more than all fail":  func(s *snapshot.Snapshot) { s.Servers[0].Failed = 1.5 },
+		"no report":           func(s *snapshot.Snapshot) { s.Servers[0].Load.Busy = math.NaN() },
+	} {
+		s := example(3)
+		change(s)
+		b, err := snapshot.Encode(s)
+		require.NoError(t, err)
+		_, err = snapshot.Decode(b)
+		require.ErrorIs(t, err, snapshot.ErrContent, what)
+	}
+	_, err := snapshot.Encode(&snapshot.Snapshot{Servers: make([]snapshot.Server, snapshot.ServersMost+1)})
+	require.ErrorIs(t, err, snapshot.ErrTooLarge)
+}
+
+func TestAnotherFleetsFileIsForeign(t *testing.T) {
+	s := example(1)
+	require.NoError(t, s.Fits("n3", 42))
+	require.ErrorIs(t, s.Fits("n4", 42), snapshot.ErrForeign)
+	require.ErrorIs(t, s.Fits("n3", 43), snapshot.ErrForeign)
+	require.NotEqual(t, snapshot.Fingerprint([]byte("a")), snapshot.Fingerprint([]byte("b")))
+}
+
+func FuzzDecode(f *testing.F) {
+	b, _ := snapshot.Encode(example(3))
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) { snapshot.Decode(b) })
+}
+
+func BenchmarkEncode200(b *testing.B) {
+	s := example(200)
+	b.ReportAllocs()
+	for range b.N {
+		snapshot.Encode(s)
+	}
+}
--- a/policy.go
+++ b/policy.go
@@ -134,6 +134,9 @@
 	if !s.AskForList {
 		p.watchAt = math.Inf(1)
 	}
+	if !s.RetryAfter {
+		p.set.MaxWait = 0 // clients would not hear it
+	}
 	return p
 }
 
@@ -161,6 +164,8 @@
 			p.onProbed(e)
 		case Heard:
 			p.onHeard(e)
+		case Remembered:
+			p.pace, p.peak = cmp.Or(p.pace, e.Pace), math.Max(p.peak, e.Peak)
 		case Room:
 			if s := p.byID[e.Server]; s != nil {
 				s.room, s.sends = &e, nil
@@ -267,7 +272,10 @@
 	if e.Weight > 0 && e.At > s.badAt {
 		s.badShare, s.badAt = p.bad(s)+e.Weight*(e.Failed-p.bad(s)), e.At
 	}
-	p.hear(s, e.Load, e.At)
+	if e.Pace > 0 && e.At > s.paceAt {
+		s.pace, s.paceAt = e.Pace, e.At
+	}
+	p.hear(s, e.Load, cmp.Or(e.LoadAt, e.At))
 }
 
 // inquire probes, while attempts are often cut off, the server of which news is oldest, one a part at most:
@@ -302,8 +310,7 @@
 		cut = 1
 	}
 	z := &p.zones[s.Zone]
-	s.badShare = p.bad(s)
-	s.badShare += math.Max(badStep, p.newsStep(s.badAt)) * (failed - s.badShare)
+	s.badShare = p.bad(s) + math.Max(badStep, p.newsStep(s.badAt))*(failed-p.bad(s))
 	z.share *= math.Exp2(-(p.now - z.at) / forgiveIn)
 	z.share += zoneStep * (failed - z.share)
 	p.cut += zoneStep * (cut - p.cut)
@@ -709,11 +716,7 @@
 		p.finish(q, Fail{ID: q.ID})
 		return
 	}
-	r := Refuse{ID: q.ID}
-	if p.set.RetryAfter {
-		r.RetryAfter = p.set.MaxWait
-	}
-	p.finish(q, r)
+	p.finish(q, Refuse{ID: q.ID, RetryAfter: p.set.MaxWait})
 }
 
 // advance does what a query needs now: answer, give up, send, send again.
@@ -862,14 +865,11 @@
 
 // tookOne counts a query or part taken, where a budget wants to know.
 func (p *Policy) tookOne() {
-	if p.set.Budget {
-		p.taken = append(p.forget(p.taken, edgeSlack), p.now)
-	}
+	p.taken = append(p.forget(p.taken, edgeSlack), p.now)
 }
 
 func (p *Policy) forget(times []float64, slack float64) []float64 { // those before the budget's window
-	from := p.now - p.set.BudgetSpan + slack
-	return slices.DeleteFunc(times, func(t float64) bool { return t < from })
+	return slices.DeleteFunc(times, func(t float64) bool { return t < p.now-p.set.BudgetSpan+slack })
 }
 
 // budgetLeft tells whether a further attempt fits the budget, counted over the window that ends now.
