Have a drain of operators refuse Flight calls as it does the platform's

LEAVE steered the HTTP front alone; a broker drained for a look went on taking queries by Flight. The core that Flight sees now asks the same drain, and refuses at once with when to come back.

--- a/cmd/mothrouter/main.go
+++ b/cmd/mothrouter/main.go
@@ -166,7 +166,7 @@
 		flights = flight.NewFront(flight.Options{
 			Classes: cfg.Classes, Patience: cfg.Patience(), Shards: cfg.Shards,
 			ConnsMax: partners.Connections,
-		}, core)
+		}, &drained{core, clients.Refuses, cfg.Advice()})
 		go func() { served <- flights.Serve(l, log) }()
 	}
 	log.Info("serving", "listen", cfg.Listen, "servers", len(cfg.Known.Servers))
@@ -215,6 +215,21 @@
 	Gauges() (held, entries, avoided int)
 }
 
+// drained is the core as Flight sees it: a drain of operators binds it as it does the platform's front.
+type drained struct {
+	core
+	refuses func() bool
+	advice  float64
+}
+
+func (d *drained) Take(r *broker.Request, c broker.Client) {
+	if d.refuses() {
+		c.Finish(broker.Result{Outcome: broker.Refused, RetryAfter: d.advice})
+		return
+	}
+	d.core.Take(r, c)
+}
+
 // listen opens the clients' listening socket, or takes the one that the process has inherited.
 func listen(cfg *config.Config) (net.Listener, error) {
 	if cfg.AcceptFD == 0 {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -247,6 +247,12 @@
 	return takes && f.core.Serving()
 }
 
+// Refuses tells whether a drain has come so far that requests are refused, by whatever front.
+func (f *Front) Refuses() bool {
+	_, refuses := f.drained()
+	return refuses
+}
+
 // wakeAll has each connection look at what has changed.
 func (f *Front) wakeAll() {
 	f.mu.Lock()
