Have late repeats yield only where a broker sees little of each server

Ruled out so: watches that begin at random, the module's new events, the link. Line at fault: doomed() gave late repeats 0.3 of the margin whatever the fleet. Its reason, that the broker which refused does not meet the repeat again, holds for hundreds of brokers, not for two. Now the share goes by how much the broker sees of each server (memory), as the rest of the margin does: 1 where it hears of a server all the time, 0.3 where hardly ever. Test: repeats at a broker of two servers are served.

--- a/policy.go
+++ b/policy.go
@@ -814,7 +814,7 @@
 		limit = math.Min(limit*math.Max(math.Sqrt(merit), meritLeast), q.aim-p.now)
 	}
 	if q.late {
-		limit *= yieldShare
+		limit *= math.Pow(yieldShare, 1-memoryLeast/p.memory)
 	}
 	for _, pt := range q.parts {
 		pt.dropped = p.wait(pt.Shard) > limit && p.rng.Float64() >= trialShare
@@ -832,7 +832,7 @@
 	waryFor      = 30.0 // seconds: at size a mixer meets such a query only once in so long
 	scoutShare   = 0.3  // of the time to the aim that others wait for the part ahead
 	meritLeast   = 0.7  // a narrower margin would refuse what an idle fleet serves at once
-	yieldShare   = 0.3  // of that margin, for queries whose aim has passed: an idle fleet still answers them
+	yieldShare   = 0.3  // of that margin, for queries whose aim has passed, where little is seen of the fleet
 	waitsLess    = 0.95 // clients count the time left themselves
 	trialShare   = 0.03 // of the parts too long in waiting that are let through
 	ghostSpan    = 3.0  // seconds that a part given up counts without news: about a full queue's length
