End a client connection in one way, and answer all that is taken before SIGKILL

Cause: the shutdown's times were fixed (0.5 s, then 1 s) and a request kept its own deadline (cmd/mothrouter/main.go, broker.take), while SIGKILL comes 0.7 s after the longest deadline, 3 s at most; with short deadlines it came first. Ruled out: the log shows no close over unread bytes, and no refused connect.

Now drain.PlanEnd plans the end from the settings, and Broker.EndBy has all that is held or taken later answered by then: from the parts that are in, refused, or failed. The listener stays open until idle connections end, so a starved process resets nobody whom it has not accepted.

Read along the way, each forced by a test over loopback that fails on the old code (tried): - A connection chosen to make room, idle for too long or ended by a drain was closed from outside, perhaps over a request just read. Now it stops its read first and serves what that brought; what comes later was never read. - An answer that closes was followed by a plain close over unread bytes, hence by a reset. All ends linger now. - Behind 72 KiB of pipelined bytes no read was out, and the client's close went unseen. Such bytes are read and forgotten, 1 MiB of them, and the connection ends. - A newcomer could hold up the accept loop for 100 ms (now 20 ms), and a request counted from its turn, not its last byte. - A client that has gone: the front marks the request on the reader's own goroutine, and Call.Begin asks; the core itself ends attempts that still wait for a connection, whatever the Decider does. - A repeat of a class with a window could begin behind it, having waited for its connection: Call.Begin asks that too.

--- a/cmd/mothrouter/main.go
+++ b/cmd/mothrouter/main.go
@@ -25,6 +25,7 @@
 	"cloverhook/internal/control"
 	"cloverhook/internal/cores"
 	"cloverhook/internal/discovery"
+	"cloverhook/internal/drain"
 	"cloverhook/internal/fleet"
 	"cloverhook/internal/flight"
 	"cloverhook/internal/front"
@@ -35,9 +36,7 @@
 )
 
 const (
-	stillAccepts = 500 * time.Millisecond // after SIGTERM: connections keep coming for up to 0.4 s
-	lastAsked    = time.Second            // and then: clients may use a connection that they have once more
-	memoryShare  = 0.7                    // of the limit, for the Go heap
+	memoryShare = 0.7 // of the limit, for the Go heap
 )
 
 func main() {
@@ -202,27 +201,30 @@
 		why = errors.New("a worker has died; what the others held was answered")
 	}
 	log.Info("ending")
-	accepts := stillAccepts
-	if cfg.AcceptFD != 0 {
-		accepts = 0 // the socket is not this process's: who comes is taken by the next one
+	since, end := time.Now(), drain.PlanEnd(cfg.Longest())
+	core.EndBy(since.Add(end.Answers))
+	if cfg.AcceptFD != 0 { // the socket is not this process's alone: who comes is taken by the next one
+		if err := listener.Close(); err != nil {
+			log.Warn("the listener did not close", "err", err)
+		}
 	}
-	wait := time.NewTimer(accepts)
+	wait := time.NewTimer(end.Accepts)
 	select {
 	case err := <-served:
-		wait.Stop()
-		return err
+		if wait.Stop(); err != nil {
+			return err
+		}
 	case <-wait.C:
 	}
-	if err := listener.Close(); err != nil {
-		log.Warn("the listener did not close", "err", err)
-	}
+	last, stop := context.WithDeadline(ctx, since.Add(end.Gone))
+	defer stop()
 	var ends sync.WaitGroup
-	ends.Go(func() { clients.End(ctx, lastAsked) })
+	ends.Go(func() { clients.End(last, end) })
 	if flights != nil {
-		ends.Go(func() { flights.Stop(ctx) })
+		ends.Go(func() { flights.Stop(last) })
 	}
 	ends.Wait()
-	core.Drain(ctx)
+	core.Drain(last)
 	cancel()
 	return why
 }
@@ -233,6 +235,7 @@
 	Run(context.Context)
 	Update(broker.List)
 	Drain(context.Context)
+	EndBy(time.Time)
 	Gauges() (held, entries, avoided int)
 	Tell(cloverhook.Event)
 }
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -74,6 +74,7 @@
 	servers *Servers
 	timers  map[*time.Timer]struct{}
 	idle    []chan struct{} // closed once no query is held
+	endBy   time.Time       // when all must be answered, since the process ends; zero: it does not
 
 	held atomic.Int64 // queries held, for whoever asks
 }
@@ -305,4 +306,9 @@
 
 func (c clock) until(t float64) time.Duration { return seconds(t - c.now()) }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+// seconds is a duration of so many; what no duration can hold is the longest one.
+func seconds(s float64) time.Duration {
+	return time.Duration(max(min(s, maxSeconds), -maxSeconds) * float64(time.Second))
+}
+
+const maxSeconds = 1e9
--- a/internal/broker/call.go
+++ b/internal/broker/call.go
@@ -58,6 +58,7 @@
 	Addr     string
 	Deadline time.Time
 
+	begin  time.Time // the last moment for its first byte: Deadline, or before that the end of its class's window
 	b      *Broker
 	pt     *part
 	number int
@@ -73,10 +74,11 @@
 )
 
 // Begin is asked just before the first byte of a call is written. If it returns false, nothing may be sent:
-// the call is over, its time is up, or its server drains or is gone. Guards against sends that have waited
-// for a connection longer than the rules allow. What ended here is told to the core.
+// the call is over, its time or its class's window for repeats is up, its client has gone, or its server drains or is
+// gone. Guards against sends that have waited for a connection longer than the rules allow. What ended here is told
+// to the core.
 func (c *Call) Begin() bool {
-	if c.Server.Leaving() || !time.Now().Before(c.Deadline) {
+	if c.Server.Leaving() || c.pt.q.req.gone() || !time.Now().Before(c.begin) {
 		c.Done(Reply{Status: cloverhook.NotSent, Load: cloverhook.NoLoad})
 		return false
 	}
@@ -122,6 +124,10 @@
 	if t := time.Now().Add(seconds(a.Timeout)); a.Timeout > 0 && t.Before(c.Deadline) {
 		c.Deadline = t
 	}
+	c.begin = c.Deadline
+	if t := time.Now().Add(b.clock.until(pt.window())); t.Before(c.begin) {
+		c.begin = t
+	}
 	pt.live = c
 	c.stop = b.after(time.Until(c.Deadline), func() { b.giveUp(c, cloverhook.TimedOut) })
 	b.link.Send(c)
@@ -139,6 +145,10 @@
 		return "the part has had all its attempts"
 	case pt.mayRun && pt.q.class.Repeat == cloverhook.RepeatUnsafe:
 		return "the part may have run and must not run twice"
+	case b.clock.now() >= pt.window():
+		return "the part may have run and its window for repeats is over"
+	case pt.q.req.gone():
+		return "the client has gone"
 	case s == nil || s.Leaving():
 		return "the server drains, is gone or was never listed"
 	case !holds(set, s.Cell, pt.Shard):
@@ -179,7 +189,9 @@
 	switch r.Status {
 	case cloverhook.Overloaded, cloverhook.Unreachable, cloverhook.NotSent:
 	default:
-		pt.mayRun = true
+		if !pt.mayRun {
+			pt.mayRun, pt.ranAt = true, c.sent
+		}
 	}
 	if r.Status == cloverhook.OK && !pt.over {
 		pt.in, pt.value = true, r.Value
--- a/internal/broker/query.go
+++ b/internal/broker/query.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -51,12 +52,25 @@
 	q        *query
 	attempts int
 	live     *Call
-	mayRun   bool // an attempt that ended may have run
+	mayRun   bool    // an attempt that ended may have run
+	ranAt    float64 // when the first of those was sent
 	in       bool
 	over     bool // its query has ended
 	value    []byte
 }
 
+// windowLead is for a repeat's way to its server: the window counts up to its last byte.
+const windowLead = 0.005 // seconds
+
+// window is when the part's window for repeats ends, in the clock's seconds: where servers drop repeats, they do so
+// for a time from the first attempt that may have run.
+func (pt *part) window() float64 {
+	if !pt.mayRun || pt.q.class.Repeat != cloverhook.RepeatKeyed {
+		return math.Inf(1)
+	}
+	return pt.ranAt + pt.q.class.RepeatWindow - windowLead
+}
+
 // Take hands a query to the core. The client hears of its end once, unless it leaves before.
 func (b *Broker) Take(r *Request, c Client) {
 	if !b.post(func() { b.take(r, c) }) {
@@ -78,18 +92,29 @@
 }
 
 func (b *Broker) take(r *Request, c Client) {
+	if r.gone() { // before the loop came to it
+		if c, ok := c.(Leaver); ok {
+			c.Left()
+		}
+		return
+	}
 	// Part ids on the wire are made of the query's name: two of one name could not be told apart.
 	if b.byName[r.ID] != nil {
 		c.Finish(Result{Outcome: Duplicate})
 		return
 	}
-	if b.opt.OpenCap > 0 && b.open+1+len(r.Parts) > b.opt.OpenCap ||
+	deadline := r.Arrived.Add(r.Patience)
+	if !b.endBy.IsZero() && deadline.After(b.endBy) {
+		deadline = b.endBy
+	}
+	if over := !b.endBy.IsZero() && time.Until(b.endBy) <= answerLead; over ||
+		b.opt.OpenCap > 0 && b.open+1+len(r.Parts) > b.opt.OpenCap ||
 		b.opt.Open != nil && !b.opt.Open.Take(1+len(r.Parts)) {
 		c.Finish(Result{Outcome: Refused, RetryAfter: b.advice()})
 		return
 	}
 	q := &query{req: r, client: c, id: b.nextID(), class: b.opt.Settings.Classes[r.Class]}
-	q.deadline = r.Arrived.Add(r.Patience)
+	q.deadline = deadline
 	b.queries[q.id], b.byName[r.ID] = q, q
 	b.open += 1 + len(r.Parts)
 	work := 0.0
@@ -99,12 +124,7 @@
 		b.parts[pt.id] = pt
 		work += p.Work
 	}
-	// Guards against a query that the Decider forgets or ends too late: whatever happens, there is a
-	// final answer before the client's time is up.
-	q.stop = b.after(time.Until(q.deadline)-answerLead, func() {
-		b.finish(q, Result{Outcome: Overdue})
-		b.tell(cloverhook.ClientGone{ID: q.id})
-	})
+	b.guard(q)
 	b.tell(cloverhook.Query{
 		ID: q.id, Number: int64(q.id), Class: r.Class, Parts: len(r.Parts),
 		Deadline: b.clock.at(q.deadline), Retry: r.Retry, Work: work,
@@ -117,6 +137,34 @@
 	}
 }
 
+// guard sees to it that a query has its final answer before the client's time or the process's is up, even if the
+// Decider forgets it or ends it too late.
+func (b *Broker) guard(q *query) {
+	q.stop = b.after(time.Until(q.deadline)-answerLead, func() {
+		last := Result{Outcome: Overdue}
+		if q.deadline.Equal(b.endBy) { // the client would wait on
+			last = q.lastWord(b.advice())
+		}
+		b.finish(q, last)
+		b.tell(cloverhook.ClientGone{ID: q.id})
+	})
+}
+
+// EndBy has every query that is held, and every later one, answered by then: the process will be killed. One that
+// its client would wait for longer is answered from the parts that are in, refused or failed.
+func (b *Broker) EndBy(t time.Time) {
+	b.post(func() {
+		b.endBy = t
+		for _, q := range b.queries {
+			if q.deadline.After(t) {
+				q.stop()
+				q.deadline = t
+				b.guard(q)
+			}
+		}
+	})
+}
+
 func (b *Broker) nextID() cloverhook.RequestID {
 	b.lastID++
 	return b.lastID
@@ -149,10 +197,23 @@
 		pt.over = true
 		if pt.live == nil {
 			delete(b.parts, pt.id)
+		} else if pt.live.state.CompareAndSwap(callWaiting, callOver) {
+			// Guards against an attempt that still waits for a connection and would begin for nobody: whether or not
+			// cancels are allowed, nothing of it has gone out.
+			b.link.Cancel(pt.live)
+			b.ended(pt.live, Reply{Status: cloverhook.NotSent, Load: cloverhook.NoLoad})
 		}
 	}
 }
 
+// lastWord is the answer to a query that is cut short: from the parts that are in, if they are enough.
+func (q *query) lastWord(retryAfter float64) Result {
+	if r := q.answer(true); r.Outcome == Answered && len(r.Values) > 0 {
+		return r
+	}
+	return q.refusal(retryAfter)
+}
+
 // answer makes the answer from the parts that are in. Under the class's floor there is none, and it is
 // marked whole only if it is, whatever the Decider says.
 func (q *query) answer(whole bool) Result {
--- a/internal/broker/request.go
+++ b/internal/broker/request.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,8 +17,14 @@
 	Patience time.Duration // how long the client waits
 	Parts    []Part
 	Text     []byte // what each part carries
+	// Left is set by the front, on whatever goroutine, the moment it learns that the client has gone: no attempt begins
+	// from then on, however long the loop needs to hear of it. Nil: that cannot be learnt.
+	Left *atomic.Bool
 }
 
+// gone tells that the client has left.
+func (r *Request) gone() bool { return r.Left != nil && r.Left.Load() }
+
 // Part is one part of a request.
 type Part struct {
 	Shard int
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -69,6 +70,9 @@
 	return p
 }
 
+// Longest is the longest time that a client waits, by the settings.
+func (c *Config) Longest() time.Duration { return slices.Max(c.Patience()) }
+
 // Advice is when a client that finds no room should come back; 0: the settings have no such word.
 func (c *Config) Advice() float64 {
 	if c.Settings.RetryAfter {
--- a/internal/cores/cores.go
+++ b/internal/cores/cores.go
@@ -213,6 +213,15 @@
 	}
 }
 
+// EndBy has all workers answer what they hold by then.
+func (g *Group) EndBy(t time.Time) {
+	for _, w := range g.workers {
+		if !w.dead.Load() {
+			w.b.EndBy(t)
+		}
+	}
+}
+
 // Serves is how many queries are being served.
 func (g *Group) Serves() int {
 	g.mu.Lock()
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -1,4 +1,4 @@
-// Package drain decides what a process does for its clients while operators drain it. It does no I/O and keeps no
+// Package drain decides what a process does for its clients while operators drain it, and when it is told to end. It does no I/O and keeps no
 // clock. A drain goes in steps, since fronts and clients hear of it one after the other: first the process is not up
 // any more and says so on each answer; then connections that wait for nothing are closed; then requests that come all
 // the same are refused. A drain that ends undoes all of it at once.
@@ -16,6 +16,38 @@
 	LastAnswers = 300 * time.Millisecond
 )
 
+// End is the plan of a process that is told to end (SIGTERM): what it does so long after that.
+type End struct {
+	// Accepts is for how long nothing changes: fronts still hand it clients for 0.4 s.
+	Accepts time.Duration
+	// Idle is when nobody is accepted any more and connections between requests are closed. Answers from Accepts on
+	// say that the connection closes, so that clients leave one by one.
+	Idle time.Duration
+	// Answers is when all that was taken has its final answer.
+	Answers time.Duration
+	// Gone is when the process has ended, whatever its clients do.
+	Gone time.Duration
+}
+
+const (
+	accepts     = 500 * time.Millisecond
+	asksAgain   = time.Second            // for clients to use once more a connection that they have
+	killedAfter = 700 * time.Millisecond // no sooner than the longest deadline and this comes SIGKILL,
+	longestMost = 3 * time.Second        // a longer one counting as this
+	killLead    = 200 * time.Millisecond // before that all is answered
+	goneLead    = 50 * time.Millisecond
+)
+
+// PlanEnd plans the end where so long is the longest time that a client waits. Guards against short deadlines: a
+// request taken late would be found unanswered by SIGKILL.
+func PlanEnd(longest time.Duration) End {
+	killed := min(longest, longestMost) + killedAfter
+	e := End{Answers: killed - killLead, Gone: killed - goneLead}
+	e.Accepts = min(accepts, e.Answers*2/3)
+	e.Idle = e.Accepts + min(asksAgain, (e.Answers-e.Accepts)/2)
+	return e
+}
+
 // State is a drain. The zero value is none. Its methods take the time.
 type State struct {
 	on    bool
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -30,3 +30,20 @@
 	s.Leave(t0.Add(5 * time.Second))
 	require.Equal(t, [4]bool{false, true, false, false}, at(6*time.Second))
 }
+
+// SIGKILL comes 0.7 s after the longest deadline, of which no more than 3 s count. By then all is answered, whatever the
+// settings; clients come for 0.4 s after the word, and those that come until the last moment have some time left.
+func TestTheEndFitsBeforeTheKill(t *testing.T) {
+	for _, longest := range []time.Duration{time.Millisecond, 300 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second, time.Hour} {
+		e := drain.PlanEnd(longest)
+		killed := min(longest, 3*time.Second) + 700*time.Millisecond
+		require.Less(t, e.Gone, killed)
+		require.LessOrEqual(t, e.Answers, e.Gone-100*time.Millisecond)
+		require.Less(t, e.Idle, e.Answers)
+		require.GreaterOrEqual(t, e.Idle, e.Accepts)
+		if longest >= 300*time.Millisecond {
+			require.GreaterOrEqual(t, e.Accepts, 450*time.Millisecond)
+		}
+	}
+	require.Equal(t, 1500*time.Millisecond, drain.PlanEnd(4*time.Second).Idle)
+}
--- a/internal/flight/front.go
+++ b/internal/flight/front.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"log/slog"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/apache/arrow-go/v18/arrow/array"
@@ -130,6 +131,7 @@
 		return err
 	}
 	c := make(client, 1)
+	r.Left = new(atomic.Bool)
 	f.core.Take(r, c)
 	select {
 	case res := <-c:
@@ -138,6 +140,7 @@
 		}
 		return writeAnswer(stream, t, res)
 	case <-ctx.Done():
+		r.Left.Store(true)
 		f.core.Leave(r)
 		return status.FromContextError(ctx.Err()).Err()
 	}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -4,6 +4,8 @@
 	"container/list"
 	"errors"
 	"net"
+	"os"
+	"sync/atomic"
 	"time"
 
 	"cloverhook/internal/broker"
@@ -18,18 +20,22 @@
 	reader  httpwire.RequestReader
 	out     []byte
 	reply   chan broker.Result // cap 1: a connection has one query at a time
-	wake    chan struct{}      // the front ends
+	wake    chan struct{}      // the front ends, or wants this connection's place
 	spaces  chan []byte        // where the reader reads to
 	ends    chan readEnd       // what it read
 	reading bool               // a read is out
+	read    time.Time          // when the latest bytes came
 	held    *broker.Request    // nil: none
 	closes  bool               // the held request's client ends the connection after it
+	trash   bool               // the read that is out is for bytes that are forgotten
+	behind  int                // so many of them came behind the held request
+	left    atomic.Bool        // the client has gone
 
 	// The front's mu guards these.
 	in       *list.List // that it stands in; nil: it holds a request
 	at       *list.Element
 	since    time.Time // when it came there
-	evicted  bool      // closed to make room
+	evicted  bool      // its place is wanted
 	buffered int       // bytes of requests that it holds
 }
 
@@ -39,30 +45,35 @@
 type readEnd struct {
 	n   int
 	err error
+	at  time.Time
 }
 
 // serve drives the connection until it ends. One read is always out, so that a client that goes away while
-// it waits is noticed.
+// it waits is noticed: at once, on the reader's goroutine, whatever else is going on.
 func (c *conn) serve() {
 	c.spaces, c.ends = make(chan []byte, 1), make(chan readEnd, 1)
 	go func() {
 		for p := range c.spaces {
 			n, err := c.sock.Read(p)
-			c.ends <- readEnd{n, err}
+			if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+				c.left.Store(true)
+			}
+			c.ends <- readEnd{n, err, time.Now()}
 		}
 	}()
 	defer close(c.spaces)
 	defer c.sock.Close()
 	limit := FirstLimit
-	if _, ending := c.f.state(); ending {
+	if c.f.state().idle {
 		limit = drain.LastAnswers
 	}
 	idle := time.NewTimer(limit)
 	defer idle.Stop()
 	first, started := true, false // no request has come whole; one has begun to come
+	over := false                 // its time between requests is up
 	for {
-		if !c.reading && !c.reader.Full() {
-			space := c.reader.Space()
+		if !c.reading {
+			space := c.space()
 			if !c.f.buffer(c, c.holds()) && c.held == nil {
 				c.refuse(errNoRoom)
 				return
@@ -72,68 +83,122 @@
 		}
 		select {
 		case e := <-c.ends:
-			c.reading = false
-			c.reader.Filled(e.n)
-			if e.err != nil {
-				if c.held != nil {
-					c.f.core.Leave(c.held)
-				}
+			if !c.filled(e) {
 				return
 			}
-			if !started && c.held == nil {
-				if started = true; !first {
-					idle.Reset(wholeLimit)
-				}
-			}
 		case r := <-c.reply:
 			resp := result(r, c.closes)
 			c.f.opt.Tally.Ended(c.held.Class, resp.Status)
 			ok := c.write(resp)
 			c.held = nil
 			if !ok {
+				c.linger()
 				return
 			}
 			c.f.buffer(c, c.holds())
 			c.f.rest(c)
-			started = false
 			idle.Reset(idleLimit)
 		case <-idle.C:
-			if c.held != nil {
-				continue
-			}
-			if started {
-				c.refuse(errTooSlow)
-			}
-			return
+			over = c.held == nil
 		case <-c.wake:
 		}
-		for c.held == nil {
-			req, err := c.reader.Next()
-			if err != nil {
-				c.refuse(err)
-				return
-			}
-			if req == nil {
-				if c.reader.Expects() && !c.send([]byte("HTTP/1.1 100 Continue\r\n\r\n")) {
+		// What has come is served, and what asks the connection to end is looked at, until it waits for something.
+		for {
+			for c.held == nil {
+				req, err := c.reader.Next()
+				if err != nil {
+					c.refuse(err)
+					return
+				}
+				if req == nil {
+					if c.reader.Expects() && !c.send([]byte("HTTP/1.1 100 Continue\r\n\r\n")) {
+						return
+					}
+					break
+				}
+				first, started, over = false, false, false
+				idle.Reset(idleLimit)
+				c.f.hold(c)
+				if !c.handle(req) {
+					c.linger()
 					return
 				}
+				if c.held == nil {
+					c.f.rest(c)
+				}
+			}
+			if c.held == nil && !started && c.reader.Begun() {
+				c.f.begin(c)
+				started, over = true, false
+				if !first {
+					idle.Reset(wholeLimit)
+				}
+			}
+			s, evicted := c.f.state(), c.f.evicts(c)
+			if c.held != nil || !over && !evicted && !s.all && (!s.idle || started) {
 				break
 			}
-			first, started = false, false
-			idle.Reset(idleLimit)
-			if !c.f.hold(c) || !c.handle(req) {
+			// It ends between requests. What the reader has taken off the socket by now is served all the same, since
+			// its client cannot know that nobody looked at it. What comes later was never read, and is sent once more.
+			n, ok := c.halt()
+			if !ok {
 				return
 			}
-			if c.held == nil {
-				c.f.rest(c)
+			if n > 0 {
+				continue
+			}
+			if started && !evicted {
+				c.refuse(errTooSlow)
+			} else if !evicted {
+				c.linger()
 			}
-		}
-		if _, ending := c.f.state(); ending && c.held == nil && !started {
 			return
 		}
 	}
 }
 
+// space is where the next bytes go. Behind a held request only so much is kept: what comes beyond is read and
+// forgotten, so that its client's close is noticed, and the connection ends after the answer.
+func (c *conn) space() []byte {
+	if c.trash = c.reader.Full(); c.trash {
+		c.closes = true
+		return make([]byte, readMost)
+	}
+	return c.reader.Space()
+}
+
+// filled takes what a read has brought. It returns false where the connection has ended.
+func (c *conn) filled(e readEnd) bool {
+	if c.reading = false; e.n > 0 {
+		c.read = e.at
+	}
+	if !c.trash {
+		c.reader.Filled(e.n)
+	} else if c.behind += e.n; c.behind > behindMost {
+		c.f.core.Leave(c.held)
+		c.refuse(errFlood)
+		return false
+	}
+	if e.err != nil && !errors.Is(e.err, os.ErrDeadlineExceeded) {
+		if c.held != nil {
+			c.f.core.Leave(c.held)
+		}
+		return false
+	}
+	return true
+}
+
+// halt ends the read that is out, and returns how many bytes it brought; ok is false where the client has gone.
+func (c *conn) halt() (n int, ok bool) {
+	if !c.reading {
+		return 0, true
+	}
+	c.sock.SetReadDeadline(time.Unix(1, 0))
+	e := <-c.ends
+	c.sock.SetReadDeadline(time.Time{})
+	return e.n, c.filled(e)
+}
+
 // holds is how many bytes of requests the connection holds, beside what each may.
 func (c *conn) holds() int {
 	n := c.reader.Size()
@@ -145,6 +210,7 @@
 
 var (
 	errTooSlow = &httpwire.Error{Status: 408, Reason: "the request did not come whole in time"}
+	errFlood   = &httpwire.Error{Status: 413, Reason: "too much came behind a request that is not answered yet"}
 	errNoRoom  = &httpwire.Error{Status: 503, Reason: "no room for a request of this size now"}
 )
 
@@ -172,7 +238,7 @@
 			break
 		}
 		if err == nil {
-			c.held, c.closes = r, req.Close
+			c.held, c.closes, c.behind = r, req.Close, 0
 			c.f.core.Take(r, c)
 			return true
 		}
@@ -188,12 +254,11 @@
 
 // request makes a core's request of a query.
 func (c *conn) request(req *httpwire.Request, class int) (*broker.Request, error) {
-	now := time.Now()
 	r, err := httpwire.ParseQuery(req)
 	if err != nil {
 		return nil, err
 	}
-	r.Class, r.Arrived = class, now
+	r.Class, r.Arrived, r.Left = class, c.read, &c.left
 	if err := r.Check(c.f.opt.Shards); err != nil {
 		return nil, &httpwire.Error{Status: 400, Reason: err.Error()}
 	}
@@ -214,17 +279,19 @@
 	c.linger()
 }
 
-// linger ends the sending side and gives the client a moment to take the answer: closing with bytes
-// unread would reset the connection, and the answer could be lost with it.
+// linger is a lingering close: it ends the sending side and gives the client a moment to take the answer and to close.
+// Closing with bytes unread would reset the connection, and the answer could be lost with it. What comes meanwhile is
+// forgotten. A connection that lingers is the first to make room.
 func (c *conn) linger() {
-	t, ok := c.sock.(*net.TCPConn)
-	if !ok {
+	half, ok := c.sock.(interface{ CloseWrite() error })
+	if !ok || c.left.Load() {
 		return
 	}
-	t.CloseWrite()
+	half.CloseWrite()
+	c.f.lingers(c)
 	wait := time.NewTimer(lingerFor)
 	defer wait.Stop()
-	trash := make([]byte, keepMost) // read and forgotten
+	trash := make([]byte, readMost)
 	for left := lingerMost; left > 0; {
 		if !c.reading {
 			c.spaces <- trash
@@ -233,6 +300,10 @@
 		select {
 		case <-wait.C:
 			return
+		case <-c.wake:
+			if c.f.evicts(c) {
+				return
+			}
 		case e := <-c.ends:
 			if c.reading = false; e.err != nil {
 				return
@@ -272,7 +343,7 @@
 
 // write sends a response and tells whether the connection goes on.
 func (c *conn) write(resp httpwire.Response) bool {
-	if closing, _ := c.f.state(); closing {
+	if c.f.state().closing || c.closes {
 		resp.Close = true
 	}
 	c.out = resp.Append(c.out[:0])
@@ -287,5 +358,8 @@
 func (c *conn) send(b []byte) bool {
 	c.sock.SetWriteDeadline(time.Now().Add(writeLimit))
 	_, err := c.sock.Write(b)
+	if err != nil {
+		c.left.Store(true)
+	}
 	return err == nil
 }
--- /dev/null
+++ b/internal/front/crossing_test.go
@@ -0,0 +1,314 @@
+package front
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cloverhook/internal/broker"
+	"cloverhook/internal/drain"
+)
+
+// held is a core that hands the test what it is given.
+type held struct {
+	taken chan taken
+	left  chan *broker.Request
+}
+
+type taken struct {
+	*broker.Request
+	broker.Client
+}
+
+func (h held) Take(r *broker.Request, c broker.Client) { h.taken <- taken{r, c} }
+func (h held) Leave(r *broker.Request)                 { h.left <- r }
+func (h held) Serving() bool                           { return true }
+
+// gated is a listener whose connections, once told to, keep what they have read from the loopback socket until somebody
+// wants the read to end: so the front looks at a connection in just the moment in which a request was read.
+type gated struct {
+	*net.TCPListener
+	mu    sync.Mutex
+	conns []*gate
+}
+
+type gate struct {
+	*net.TCPConn
+	shut chan struct{} // closed: reads are kept from now on
+	read chan struct{} // closed: one is kept
+	open chan struct{} // closed: it goes on
+	once sync.Once
+}
+
+func (g *gated) Accept() (net.Conn, error) {
+	c, err := g.TCPListener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	gate := &gate{TCPConn: c.(*net.TCPConn), shut: make(chan struct{}), read: make(chan struct{}), open: make(chan struct{})}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.conns = append(g.conns, gate)
+	return gate, nil
+}
+
+func (g *gate) Read(p []byte) (int, error) {
+	n, err := g.TCPConn.Read(p)
+	select {
+	case <-g.shut:
+		if n > 0 {
+			close(g.read)
+			g.shut = nil
+			<-g.open
+		}
+	default:
+	}
+	return n, err
+}
+
+func (g *gate) SetReadDeadline(t time.Time) error {
+	g.once.Do(func() { close(g.open) })
+	return g.TCPConn.SetReadDeadline(t)
+}
+
+func (g *gate) Close() error {
+	g.once.Do(func() { close(g.open) })
+	return g.TCPConn.Close()
+}
+
+type fixture struct {
+	*testing.T
+	held
+	f *Front
+	l *gated
+}
+
+func start(t *testing.T, opt Options) *fixture {
+	opt.Classes, opt.Buffers, opt.Advice = map[string]int{"look": 0}, 1<<20, 0.5
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	x := &fixture{T: t, held: held{make(chan taken, 9), make(chan *broker.Request, 9)}, l: &gated{TCPListener: l.(*net.TCPListener)}}
+	x.f = New(opt, x.held, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	go x.f.Serve(x.l)
+	t.Cleanup(func() { l.Close() })
+	return x
+}
+
+// dial opens a client's connection; gate is the front's end of it.
+func (x *fixture) dial() (c *net.TCPConn, in *bufio.Reader, end *gate) {
+	s, err := net.Dial("tcp", x.l.Addr().String())
+	require.NoError(x, err)
+	x.Cleanup(func() { s.Close() })
+	s.SetDeadline(time.Now().Add(5 * time.Second))
+	require.Eventually(x, func() bool {
+		x.l.mu.Lock()
+		defer x.l.mu.Unlock()
+		for _, g := range x.l.conns {
+			if g.RemoteAddr().String() == s.LocalAddr().String() {
+				end = g
+			}
+		}
+		return end != nil
+	}, time.Second, time.Millisecond)
+	return s.(*net.TCPConn), bufio.NewReader(s), end
+}
+
+func ask(id string, head ...string) string {
+	body := `{"targets":[{"partition":0,"share":1}],"query":"x"}`
+	return fmt.Sprintf("POST /look HTTP/1.1\r\nX-Request-Id: %s\r\nX-Deadline: 2000m\r\nContent-Length: %d\r\n%s\r\n%s", id, len(body),
+		strings.Join(head, ""), body)
+}
+
+// answered plays one request whole.
+func (x *fixture) answered(c net.Conn, in *bufio.Reader, id string) {
+	x.Helper()
+	fmt.Fprint(c, ask(id))
+	x.finish(in, id)
+}
+
+func (x *fixture) finish(in *bufio.Reader, id string) {
+	x.Helper()
+	select {
+	case q := <-x.taken:
+		require.Equal(x, id, q.ID)
+		q.Finish(broker.Result{Whole: true, Values: []broker.Value{{Data: []byte("v")}}})
+	case <-time.After(2 * time.Second):
+		require.FailNow(x, "the request was never taken")
+	}
+	require.Equal(x, "HTTP/1.1 200 OK", answer(x.T, in))
+}
+
+// answer reads an answer and returns its first line.
+func answer(t *testing.T, in *bufio.Reader) string {
+	t.Helper()
+	first, length := "", 0
+	for {
+		line, err := in.ReadString('\n')
+		require.NoError(t, err)
+		line = strings.TrimSpace(line)
+		if first == "" {
+			first = line
+		}
+		fmt.Sscanf(line, "Content-Length: %d", &length)
+		if line == "" {
+			break
+		}
+	}
+	_, err := io.CopyN(io.Discard, in, int64(length))
+	require.NoError(t, err)
+	return first
+}
+
+// A request has been read off a resting connection in the moment in which the connection is chosen to make room, its
+// time is up, or the process ends. Its client cannot know that nobody looked at it: it is served.
+func TestARequestReadAsItsConnectionEndsIsServed(t *testing.T) {
+	for name, end := range map[string]func(x *fixture){
+		"to make room": func(x *fixture) { x.dial() },
+		"too many rest": func(x *fixture) {
+			c, in, _ := x.dial()
+			x.answered(c, in, "other")
+		},
+		"the process ends": func(x *fixture) {
+			go x.f.End(x.Context(), drain.End{Answers: time.Second})
+		},
+		"a drain": func(x *fixture) {
+			x.f.mu.Lock()
+			x.f.drain.Leave(time.Now().Add(-drain.Next()))
+			x.f.mu.Unlock()
+			x.f.wakeAll()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			opt := Options{ConnsMax: 1}
+			if name == "too many rest" {
+				opt = Options{ConnsMax: 2, IdleMost: 1}
+			}
+			x := start(t, opt)
+			c, in, gate := x.dial()
+			x.answered(c, in, "first")
+			close(gate.shut)
+			fmt.Fprint(c, ask("second"))
+			<-gate.read
+			end(x)
+			x.finish(in, "second")
+		})
+	}
+}
+
+// The last answer must come whole, and then the end: not a reset by what the client has sent behind its request.
+func TestAnAnswerIsNotLostToWhatComesBehindIt(t *testing.T) {
+	for name, behind := range map[string]int{"another request": 300, "a flood": 200 << 10} {
+		t.Run(name, func(t *testing.T) {
+			x := start(t, Options{ConnsMax: 9})
+			c, in, _ := x.dial()
+			fmt.Fprint(c, ask("q", "Connection: close\r\n"))
+			q := <-x.taken
+			_, err := c.Write(make([]byte, behind))
+			require.NoError(t, err)
+			q.Finish(broker.Result{Whole: true, Values: []broker.Value{{Data: []byte("v")}}})
+			time.Sleep(20 * time.Millisecond)
+			_, err = fmt.Fprint(c, ask("late")) // crosses the end
+			require.NoError(t, err)
+			time.Sleep(20 * time.Millisecond)
+			require.Equal(t, "HTTP/1.1 200 OK", answer(t, in))
+			_, err = in.ReadByte()
+			require.ErrorIs(t, err, io.EOF)
+			require.Empty(t, x.taken, "nothing is taken behind the end")
+		})
+	}
+}
+
+// A client that has sent much behind its request, and goes, has gone: nobody may work for it.
+func TestACloseBehindAFloodIsNoticed(t *testing.T) {
+	x := start(t, Options{ConnsMax: 9})
+	c, _, _ := x.dial()
+	fmt.Fprint(c, ask("q"))
+	q := <-x.taken
+	_, err := c.Write(make([]byte, 300<<10))
+	require.NoError(t, err)
+	require.NoError(t, c.SetLinger(0))
+	require.NoError(t, c.Close())
+	select {
+	case r := <-x.left:
+		require.Same(t, q.Request, r)
+		require.True(t, r.Left.Load())
+	case <-time.After(time.Second):
+		require.FailNow(t, "its close was not noticed")
+	}
+}
+
+// One that goes on sending behind a request that is held is told off and ended, at no cost to the others.
+func TestAnEndlessFloodEnds(t *testing.T) {
+	x := start(t, Options{ConnsMax: 9})
+	c, in, _ := x.dial()
+	fmt.Fprint(c, ask("q"))
+	q := <-x.taken
+	go func() {
+		for {
+			if _, err := c.Write(make([]byte, 64<<10)); err != nil {
+				return
+			}
+		}
+	}()
+	require.Same(t, q.Request, <-x.left)
+	require.Equal(t, "HTTP/1.1 413 Content Too Large", answer(t, in))
+}
+
+// Newcomers find room among connections that rest or linger, however many come, and one that asks is answered soon.
+func TestAFloodOfConnectionsDoesNotHoldUpWhoAsks(t *testing.T) {
+	x := start(t, Options{ConnsMax: 8})
+	began := time.Now()
+	for i := range 200 {
+		c, in, _ := x.dial()
+		if i%20 == 19 {
+			fmt.Fprint(c, "GET /up HTTP/1.1\r\nHost: n1\r\n\r\n")
+			require.Equal(t, "HTTP/1.1 200 OK", answer(t, in))
+		}
+	}
+	require.Less(t, time.Since(began), 2*time.Second)
+}
+
+// A request that came behind another counts from when it came, not from when its turn was.
+func TestARequestCountsFromItsLastByte(t *testing.T) {
+	x := start(t, Options{ConnsMax: 8})
+	c, in, _ := x.dial()
+	fmt.Fprint(c, ask("q1"), ask("q2"))
+	q := <-x.taken
+	time.Sleep(50 * time.Millisecond)
+	q.Finish(broker.Result{Whole: true})
+	require.Equal(t, "HTTP/1.1 200 OK", answer(t, in))
+	q2 := <-x.taken
+	require.Less(t, q2.Arrived.Sub(q.Arrived), 40*time.Millisecond)
+}
+
+// Half a request is no request: told to end, the front waits for the rest, and no longer than its time allows.
+func TestHalfARequestAtTheEnd(t *testing.T) {
+	x := start(t, Options{ConnsMax: 8})
+	c, in, _ := x.dial()
+	silent, silentIn, _ := x.dial()
+	text := ask("q")
+	fmt.Fprint(c, text[:40])
+	fmt.Fprint(silent, text[:40])
+	time.Sleep(20 * time.Millisecond)
+	ended := make(chan time.Time, 1)
+	began := time.Now()
+	go func() {
+		x.f.End(x.Context(), drain.End{Answers: 300 * time.Millisecond, Idle: 50 * time.Millisecond})
+		ended <- time.Now()
+	}()
+	time.Sleep(100 * time.Millisecond)
+	fmt.Fprint(c, text[40:])
+	x.finish(in, "q")
+	require.Equal(t, "HTTP/1.1 408 Request Timeout", answer(t, silentIn))
+	c.Close()
+	silent.Close()
+	require.Less(t, (<-ended).Sub(began), time.Second)
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -24,10 +24,12 @@
 	wholeLimit = 2200 * time.Millisecond // for a later request to come whole, from its first byte
 	idleLimit  = 30 * time.Second        // between requests
 	freshGrace = 250 * time.Millisecond  // a client that has just connected is about to speak
-	roomWait   = 100 * time.Millisecond  // for a closed connection to be gone
-	lingerFor  = 100 * time.Millisecond
-	lingerMost = 256 << 10 // bytes taken and forgotten meanwhile
-	keepMost   = 16 << 10  // bytes of a connection's write buffer that are kept for the next answer
+	roomWait   = 20 * time.Millisecond   // for a connection that makes room to be gone; nobody is accepted meanwhile
+	lingerFor  = 500 * time.Millisecond  // for a client to take its last answer and close
+	lingerMost = 256 << 10               // bytes taken and forgotten meanwhile
+	behindMost = 1 << 20                 // and behind a request that is held, beyond what is kept
+	readMost   = 16 << 10                // bytes forgotten at once
+	keepMost   = 16 << 10                // bytes of a connection's write buffer that are kept for the next answer
 )
 
 // Core is what the front needs of the broker.
@@ -57,25 +59,43 @@
 	wg    sync.WaitGroup
 
 	mu      sync.Mutex
-	closing bool // answers say Connection: close
-	ending  bool // connections end as soon as nothing is held
+	end     ends // of the process
 	drain   drain.State
 	conns   map[*conn]struct{}
+	past    list.List // of conns that linger, by when they began to
 	fresh   list.List // of conns that have never sent a whole request, by when they came
 	kept    list.List // of conns between requests, by when they had their last answer
+	begun   list.List // of conns of which a further request has come in part, by when it began
 	buffers int       // bytes of requests held
+
+	listener net.Listener
+	accepted chan struct{} // closed when none is any more
+}
+
+// ends is how far the front has come with sending its clients away.
+type ends struct {
+	closing bool // answers say Connection: close
+	idle    bool // connections between requests end
+	all     bool // so do those of which half a request has come
 }
 
 // New makes a front to core.
 func New(opt Options, core Core, log *slog.Logger) *Front {
 	return &Front{
 		opt: opt, core: core, log: log, slots: make(chan struct{}, max(opt.ConnsMax, 1)),
-		conns: map[*conn]struct{}{},
+		conns: map[*conn]struct{}{}, accepted: make(chan struct{}),
 	}
 }
 
 // Serve accepts until the listener is closed.
 func (f *Front) Serve(l net.Listener) error {
+	defer close(f.accepted)
+	f.mu.Lock()
+	f.listener = l
+	if f.end.idle {
+		l.Close()
+	}
+	f.mu.Unlock()
 	for {
 		sock, err := l.Accept()
 		if err != nil {
@@ -121,7 +141,8 @@
 		return true
 	default:
 	}
-	if !f.evict(&f.fresh, freshGrace) && !f.evict(&f.kept, 0) && !f.evict(&f.fresh, 0) {
+	if !f.evict(&f.past, 0) && !f.evict(&f.fresh, freshGrace) && !f.evict(&f.kept, 0) && !f.evict(&f.fresh, 0) &&
+		!f.evict(&f.begun, 0) {
 		return false
 	}
 	wait := time.NewTimer(roomWait)
@@ -134,7 +155,8 @@
 	}
 }
 
-// evict closes the connection that has been longest in a list, if it has been there for so long.
+// evict asks the connection that has been longest in a list to end, if it has been there for so long. It ends by
+// itself: only its own goroutine knows whether a request of it has just been read.
 func (f *Front) evict(l *list.List, least time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -145,10 +167,34 @@
 	c := first.Value.(*conn)
 	f.queue(c, nil)
 	c.evicted = true
-	c.sock.Close()
+	c.nudge()
 	return true
 }
 
+// evicts tells whether a connection's place is wanted.
+func (f *Front) evicts(c *conn) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return c.evicted
+}
+
+// lingers puts a connection among those that have had their last answer.
+func (f *Front) lingers(c *conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.queue(c, &f.past)
+}
+
+// begin notes that a request has begun to come. Its connection is the last to make room, once it has had some.
+func (f *Front) begin(c *conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c.in != &f.fresh {
+		f.queue(c, &f.begun)
+		c.evicted = false
+	}
+}
+
 // queue moves a connection to the end of a list, or, with nil, out of its own. The caller holds mu.
 func (f *Front) queue(c *conn, l *list.List) {
 	if c.in != nil {
@@ -174,12 +220,12 @@
 	}
 }
 
-// hold takes a connection off the lists, since its request has come. It returns false if it was closed.
-func (f *Front) hold(c *conn) bool {
+// hold takes a connection off the lists, since its request has come. It makes no room any more.
+func (f *Front) hold(c *conn) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.queue(c, nil)
-	return !c.evicted
+	c.evicted = false
 }
 
 // buffer books what a connection holds of requests and tells whether it may. It guards the memory against
@@ -193,31 +239,41 @@
 	return !grows || f.buffers <= f.opt.Buffers
 }
 
-// End has answers say from now on that the connection closes, and leaves clients a grace to ask once more on
-// those they have: closing them all at once sends every client off at the same moment, perhaps to nobody. Then
-// it closes connections that wait for nothing, the others once they have their answers, and waits for that
-// until ctx ends.
-func (f *Front) End(ctx context.Context, grace time.Duration) {
-	f.mu.Lock()
-	f.closing = true
-	f.mu.Unlock()
+// End sends clients away as planned, from now on: answers say that the connection closes, and clients have a grace to
+// ask once more on those they have, since closing them all at once sends every client off at the same moment, perhaps
+// to nobody. Then nobody is accepted any more and connections that wait for nothing end, the others once they have
+// their answers. It returns when all have ended, or ctx has.
+func (f *Front) End(ctx context.Context, plan drain.End) {
+	step := func(wait time.Duration, change func()) {
+		t := time.NewTimer(wait)
+		defer t.Stop()
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		f.mu.Lock()
+		change()
+		f.mu.Unlock()
+		f.wakeAll()
+	}
+	step(0, func() { f.end.closing = true })
+	step(plan.Idle-plan.Accepts, func() {
+		f.end.idle = true
+		if f.listener == nil {
+			return
+		}
+		if err := f.listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+			f.log.Warn("the listener did not close", "err", err)
+		}
+	})
 	done := make(chan struct{})
 	go func() {
+		<-f.accepted
 		f.wg.Wait()
 		close(done)
 	}()
-	wait := time.NewTimer(grace)
-	defer wait.Stop()
-	select {
-	case <-done:
-		return
-	case <-wait.C:
-	case <-ctx.Done():
-	}
-	f.mu.Lock()
-	f.ending = true
-	f.mu.Unlock()
-	f.wakeAll()
+	last := time.AfterFunc(plan.Answers-plan.Idle, func() { step(0, func() { f.end.all = true }) })
+	defer last.Stop()
 	select {
 	case <-done:
 	case <-ctx.Done():
@@ -242,7 +298,7 @@
 // Takes tells whether clients are taken.
 func (f *Front) Takes() bool {
 	f.mu.Lock()
-	takes := !f.closing && f.drain.Up()
+	takes := !f.end.closing && f.drain.Up()
 	f.mu.Unlock()
 	return takes && f.core.Serving()
 }
@@ -258,18 +314,25 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for c := range f.conns {
-		select {
-		case c.wake <- struct{}{}:
-		default:
-		}
+		c.nudge()
+	}
+}
+
+// nudge has the connection look at what has changed.
+func (c *conn) nudge() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
 	}
 }
 
-// state tells whether answers say that the connection closes, and whether connections that wait for nothing end.
-func (f *Front) state() (closing, ending bool) {
+// state tells how far clients are sent away: for the process's end, or by a drain.
+func (f *Front) state() ends {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.closing || f.drain.Closing(), f.ending || f.drain.ClosesIdle(time.Now())
+	e := f.end
+	e.closing, e.idle = e.closing || f.drain.Closing(), e.idle || f.drain.ClosesIdle(time.Now())
+	return e
 }
 
 // drained tells whether the process is up for clients, and whether requests are refused.
--- a/internal/httpwire/request.go
+++ b/internal/httpwire/request.go
@@ -54,6 +54,9 @@
 // Size is how much room the reader holds.
 func (d *RequestReader) Size() int { return len(d.buf.b) }
 
+// Begun tells that a request has come in part.
+func (d *RequestReader) Begun() bool { return d.req != nil || len(d.buf.unread()) > 0 }
+
 // Full tells that so much is waiting that no more should be read before Next has taken it.
 func (d *RequestReader) Full() bool { return len(d.buf.unread()) > maxHead+MaxBody }
 
