Begin calls to discovery at most 3.5 s apart, whatever became of those before

Cause: after the clock's time was over nothing bounded the waits of backoff (up to 4 s), and a call may take 2.2 s more, so a change could be in hand 6.2 s and later after discovery had it (vigil.plan, left <= 0). Now each call, not only each word, sets when the next has to begin. Waits double to 3 s, not 4 s, and sooner in small fleets; a dial may take as long as a call, since a first packet that is lost is sent again after a second.

--- a/internal/backoff/backoff.go
+++ b/internal/backoff/backoff.go
@@ -20,8 +20,8 @@
 	startMost = 200 * time.Millisecond
 	firstMost = 2 * time.Second
 	longLeast = time.Second
-	longMost  = 4 * time.Second
-	longTimes = 4 // the longest wait, in times that it takes to serve all callers once
+	longMost  = 3 * time.Second
+	longTimes = 2 // the longest wait, in times that it takes to serve all callers once
 
 	// DefaultCallers is what a fleet counts that does not say its size, or says an absurd one.
 	DefaultCallers = 100
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -21,7 +21,8 @@
 	"cloverhook/internal/vigil"
 )
 
-const dialLimit = time.Second
+// dialLimit is as long as a call may take: a first packet that is lost is sent again after a second.
+const dialLimit = vigil.CallLimit
 
 // Names translates the names of zones and kinds to their numbers in the settings.
 type Names struct{ Zones, Kinds []string }
--- a/internal/vigil/vigil.go
+++ b/internal/vigil/vigil.go
@@ -22,7 +22,7 @@
 	// CallLimit is how long a call may take from its connect to its first word. An overbooked discovery serves in
 	// turn, so it is as long as the clock allows.
 	CallLimit = 2200 * time.Millisecond
-	binds     = 5700 * time.Millisecond // after the last word: 6 s, less what taking the news in may last
+	binds     = 5700 * time.Millisecond // after the last word, or the begin of a call: 6 s, less what taking the news in may last
 	moveBinds = 3700 * time.Millisecond // after a move: 4 s, less the same
 	mostCalls = 2                       // open at once, beside those of a former address
 )
@@ -47,7 +47,7 @@
 	calls []call // in the order of their beginning
 	last  int    // id of the latest
 	heard time.Time
-	due   time.Time // when what is missed now binds; zero: nothing was heard yet
+	by    time.Time // the next call has to begin by then, if one is waited for; zero: none has begun yet
 	next  time.Time // when to call; zero: no call is waited for
 	todo  []Action
 }
@@ -59,9 +59,19 @@
 	return v
 }
 
-// plan has the next call made after a wait that ends early enough for its answer, if that can still be.
+// plan has the next call made after a wait that ends early enough for its answer. Guards against waits that grow while
+// calls fail: a change that discovery could not tell binds 6 s after it could, so calls begin no further apart than
+// leaves the next one its time within that, whatever became of those before.
 func (v *Vigil) plan(now time.Time) {
-	v.next = now.Add(v.waits.Next(v.due.Sub(now) - CallLimit))
+	if !v.by.IsZero() && !v.by.After(now) {
+		v.next = now
+		return
+	}
+	left := time.Duration(0)
+	if !v.by.IsZero() {
+		left = v.by.Sub(now)
+	}
+	v.next = now.Add(v.waits.Next(left))
 }
 
 // Wake is when Tick has to be called next at the latest; zero: not before something happens.
@@ -117,6 +127,7 @@
 		}
 	}
 	v.last++
+	v.by = now.Add(binds - CallLimit)
 	v.calls = append(v.calls, call{id: v.last, begun: now})
 	v.todo = append(v.todo, Action{Call: v.last})
 }
@@ -139,7 +150,7 @@
 		return nil
 	}
 	v.calls[i].spoke, v.calls[i].doubt = true, false
-	v.heard, v.due, v.next = now, now.Add(binds), time.Time{}
+	v.heard, v.by, v.next = now, now.Add(binds-CallLimit), time.Time{}
 	v.waits.Succeeded()
 	for _, c := range slices.Clone(v.calls) {
 		if c.id != id {
@@ -174,7 +185,7 @@
 	for i := range v.calls {
 		v.calls[i].former = true
 	}
-	v.due = now.Add(moveBinds)
+	v.by = now.Add(moveBinds - CallLimit)
 	v.waits.Succeeded() // the new address has not failed yet
 	v.plan(now)
 	return v.take()
--- a/internal/vigil/vigil_test.go
+++ b/internal/vigil/vigil_test.go
@@ -1,6 +1,8 @@
 package vigil_test
 
 import (
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -149,3 +151,63 @@
 		}
 	})
 }
+
+// Discovery cannot be reached for a while: it refuses calls, takes them and says nothing, or lets them hang, in any
+// order. From the moment at which it can be reached a call that is made is answered within its limit, and so a change
+// is in hand within 6 s, whatever became of the calls before, in a fleet of any size. Nor do all call in one moment.
+func TestAChangeIsInHandSixSecondsAfterDiscoveryCouldBeReached(t *testing.T) {
+	for _, callers := range []int{1, 5, 30, 300, 100_000} {
+		var after []time.Duration // when each broker called first once it could
+		made := 0
+		for seed := range uint64(200) {
+			rng := rand.New(rand.NewPCG(seed, uint64(callers)))
+			a := newAgent(callers, seed)
+			a.play(0, time.Second, 0, 0) // heard, then lost: by a reset, or in silence
+			up := time.Second + time.Duration(rng.IntN(3000))*10*time.Millisecond
+			ends := map[int]time.Duration{}
+			if rng.IntN(2) == 0 {
+				ends[1] = time.Second
+			}
+			if rng.IntN(3) == 0 { // a new configuration has come meanwhile
+				ends[0] = time.Second + time.Duration(rng.IntN(int((up-time.Second)/(10*time.Millisecond))+1))*10*time.Millisecond
+			}
+			calls := len(a.opened)
+			for at := time.Second; ; at += 10 * time.Millisecond {
+				now := start.Add(at)
+				if moved, ok := ends[0]; ok && moved <= at {
+					delete(ends, 0)
+					a.do(at, a.Moved(now))
+				}
+				for id, end := range ends {
+					if id > 0 && end <= at {
+						delete(ends, id)
+						delete(a.open, id)
+						a.do(at, a.Ended(now, id))
+					}
+				}
+				if !now.Before(a.Wake()) {
+					a.do(at, a.Tick(now))
+				}
+				for ; calls < len(a.opened); calls++ {
+					switch rng.IntN(3) {
+					case 0:
+						ends[calls+1] = at + 10*time.Millisecond // refused
+					case 1:
+						ends[calls+1] = at + vigil.CallLimit // never came up
+					} // or stays silent
+				}
+				if last := a.opened[len(a.opened)-1]; last >= up {
+					after = append(after, last-up)
+					break
+				}
+				require.Less(t, at-up, 6*time.Second-vigil.CallLimit, "%d callers, seed %d", callers, seed)
+			}
+			made += len(a.opened)
+		}
+		slices.Sort(after)
+		if callers >= 300 {
+			require.Greater(t, after[len(after)*9/10]-after[len(after)/10], 800*time.Millisecond, "they call in step")
+			require.Less(t, made, 200*16, "and too often")
+		}
+	}
+}
