Keep what all brokers send to a cold server within N, also while most servers are cold

The fleet's test is now held to N + 2 root N + 2, at 2, 5, 20, 30 and 300 brokers, with servers that bear only what they can, through rolling restarts with two processes a broker and releases of six in ten servers. Cause, each tried alone: answers of cold servers counted as what the few warm ones bear (survey, judge), and the highest of a broker's few counts is chance, which sums up over hundreds.

--- a/cold_test.go
+++ b/cold_test.go
@@ -1,10 +1,12 @@
 package cloverhook_test
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -15,7 +17,7 @@
 // due is an answer on its way to a mixer.
 type due struct {
 	at    float64
-	mixer int
+	mixer *cloverhook.Policy
 	ended cloverhook.Ended
 }
 
@@ -32,120 +34,191 @@
 	return last
 }
 
-// coldFleet plays 300 mixers, 40 servers of 50 parts a second and 60 % of the load that these bear, on virtual time.
-// At 30 s one server starts anew and every mixer is told. It returns the most parts that came there in any window of
-// the fall, as a share of what the site's settings allow within it (N), and of what fells it (N + 3 root N + 3).
-func coldFleet(seed uint64, blank, burst float64, alone bool) (share, fall float64) {
-	const mixers, servers, capacity, start = 300, 40, 50.0, 30.0
-	set := cloverhook.Settings{
-		Classes: []cloverhook.Class{{Aim: 1.5, Deadline: 4, Need: 1, Floor: 1, Worth: 1}}, Mixers: mixers,
-		Cells: servers, Reach: 2, BatchMax: 1, MaxAttempts: 4, Tick: 0.001, MayCancel: true, RetryAfter: true, MaxWait: 0.5,
+// coldDay is a fleet of brokers and servers on virtual time. At 30 s servers start anew
+// and every mixer is told.
+type coldDay struct {
+	mixers, servers int
+	load            float64 // share of what the servers bear
+	burst           float64 // traffic from 30 s on, over that before
+	blank           float64 // share of the mixers that are killed then, and back with nothing but their list
+	alone           bool    // no other server holds the shards of the one that starts
+	replaced        float64 // share of the servers that start anew within 7 s; 0: one does
+	rolling         bool    // a tenth of the mixers after the other restart from then on: for a second two processes serve
+	capacity        float64 // parts a second that a server bears; 0: 50
+}
+
+const coldStart = 30.0
+
+func (d coldDay) settings() cloverhook.Settings {
+	return cloverhook.Settings{
+		Classes: []cloverhook.Class{{Aim: 1.5, Deadline: 4, Need: 1, Floor: 1, Worth: 1}}, Mixers: d.mixers,
+		Cells: d.servers, Reach: 2, BatchMax: 1, MaxAttempts: 4, Tick: 0.001, MayCancel: true, RetryAfter: true, MaxWait: 0.5,
 		ReportMode: cloverhook.ReportPiggyback, ColdShare: 0.2, WarmUp: 17, FallMultiple: 2.5, FallTime: 1.5,
 	}
+}
+
+// play returns the most parts that came to a server that starts in any window of the fall, as a share of what the
+// settings allow within it (N), and of N + 2 root N + 2, beyond which it is not chance.
+func (d coldDay) play(seed uint64) (share, beyond float64) {
+	capacity := cmp.Or(d.capacity, 50)
+	set := d.settings()
 	rng := rand.New(rand.NewPCG(seed, 1))
 	var list []cloverhook.Server
-	for i := range servers {
+	for i := range d.servers {
 		list = append(list, cloverhook.Server{ID: fmt.Sprint("s", i), Cell: i})
 	}
-	fleet := make([]*cloverhook.Policy, mixers)
+	fleet := make([][]*cloverhook.Policy, d.mixers) // of each, its processes
+	blank := func(now float64) *cloverhook.Policy {
+		p := cloverhook.New(set, rng.Uint64())
+		p.Handle(now, []cloverhook.Event{cloverhook.List{Mode: cloverhook.ListFull, Servers: list}})
+		return p
+	}
 	for i := range fleet {
-		fleet[i] = cloverhook.New(set, rng.Uint64())
-		fleet[i].Handle(0, []cloverhook.Event{cloverhook.List{Mode: cloverhook.ListFull, Servers: list}})
+		fleet[i] = []*cloverhook.Policy{blank(0)}
 	}
 	var out dues
-	var arrivals []float64
-	do := func(now float64, mixer int, actions []cloverhook.Action) {
+	arrivals := map[string][]float64{}
+	started := map[string]float64{}
+	free := map[string]float64{} // when each server has worked through what it holds
+	do := func(now float64, p *cloverhook.Policy, actions []cloverhook.Action) {
 		for _, s := range sends(actions) {
-			if s.Server == "s0" && now >= start {
-				arrivals = append(arrivals, now)
+			bears := capacity
+			if at := started[s.Server]; at > 0 {
+				arrivals[s.Server] = append(arrivals[s.Server], now)
+				bears *= math.Min(1, set.ColdShare+(1-set.ColdShare)*(now-at)/set.WarmUp)
+			}
+			e := cloverhook.Ended{ID: s.ID, Server: s.Server, Status: cloverhook.OK, Closed: true, Load: cloverhook.NoLoad}
+			if e.Latency = 0.001; free[s.Server] > now+1 {
+				e.Status, e.Closed = cloverhook.Overloaded, false
+			} else {
+				free[s.Server] = max(free[s.Server], now) + 2*rng.Float64()/bears
+				e.Latency = free[s.Server] - now + 0.01
 			}
-			took := 0.02 + 0.02*rng.Float64()
-			heap.Push(&out, due{now + took, mixer, cloverhook.Ended{ID: s.ID, Server: s.Server, Status: cloverhook.OK,
-				Latency: took, Closed: true, Load: cloverhook.NoLoad}})
+			heap.Push(&out, due{now + e.Latency, p, e})
 		}
 	}
-	next, id, told := 0.0, cloverhook.RequestID(0), false
-	for next < start+10 {
-		if !told && next >= start {
-			told = true
-			list[0].Started = start
-			if alone { // no other holds its shards
-				list[1].State, list[servers-1].State = cloverhook.Gone, cloverhook.Gone
+	type step struct {
+		at float64
+		do func(now float64)
+	}
+	var todo []step
+	start := func(n int) func(float64) {
+		return func(now float64) {
+			list[n].Started = now
+			started[list[n].ID] = now
+			free[list[n].ID] = now
+			if d.alone { // no other holds its shards
+				list[(n+1)%d.servers].State, list[(n+d.servers-1)%d.servers].State = cloverhook.Gone, cloverhook.Gone
 			}
 			for i := range fleet {
-				if rng.Float64() < blank { // killed, and back with nothing but its list
-					fleet[i] = cloverhook.New(set, rng.Uint64())
-					out = filter(out, i)
+				for _, p := range fleet[i] {
+					p.Handle(now, []cloverhook.Event{cloverhook.List{Mode: cloverhook.ListFull, Servers: list}})
 				}
-				fleet[i].Handle(start, []cloverhook.Event{cloverhook.List{Mode: cloverhook.ListFull, Servers: list}})
 			}
-			heap.Init(&out)
+		}
+	}
+	todo = append(todo, step{coldStart, func(now float64) {
+		start(0)(now)
+		for i := range fleet {
+			if rng.Float64() < d.blank {
+				fleet[i] = []*cloverhook.Policy{blank(now)}
+			}
+		}
+	}})
+	starts := int(d.replaced * float64(d.servers))
+	for n := 1; n < starts; n++ {
+		todo = append(todo, step{coldStart + 7*float64(n)/float64(starts), start(n)})
+	}
+	for tenth := 0; d.rolling && tenth < 10; tenth++ {
+		from, to := tenth*d.mixers/10, (tenth+1)*d.mixers/10
+		at := coldStart - 1 + 0.5*float64(tenth)
+		todo = append(todo, step{at, func(now float64) {
+			for i := from; i < to; i++ {
+				fleet[i] = append(fleet[i], blank(now))
+			}
+		}}, step{at + 1, func(float64) {
+			for i := from; i < to; i++ {
+				fleet[i] = fleet[i][1:]
+			}
+		}})
+	}
+	slices.SortStableFunc(todo, func(a, b step) int { return cmp.Compare(a.at, b.at) })
+	next, id := 0.0, cloverhook.RequestID(0)
+	for next < coldStart+10 {
+		for len(todo) > 0 && next >= todo[0].at {
+			todo[0].do(todo[0].at)
+			todo = todo[1:]
 		}
 		for len(out) > 0 && out[0].at <= next {
-			d := heap.Pop(&out).(due)
-			do(d.at, d.mixer, fleet[d.mixer].Handle(d.at, []cloverhook.Event{d.ended}))
+			x := heap.Pop(&out).(due)
+			do(x.at, x.mixer, x.mixer.Handle(x.at, []cloverhook.Event{x.ended}))
 		}
-		m, n := rng.IntN(mixers), 1+rng.IntN(5)
+		m, n := rng.IntN(d.mixers), 1+rng.IntN(5)
 		id += 100
 		ev := []cloverhook.Event{cloverhook.Query{ID: id, Number: int64(id), Parts: n, Deadline: next + 4}}
-		first := rng.IntN(servers)
+		first := rng.IntN(d.servers)
 		for i := range n {
 			ev = append(ev, cloverhook.Part{ID: id + 1 + cloverhook.RequestID(i), Number: int64(id),
-				Shard: (first + i) % servers, Weight: 1 / float64(n)})
+				Shard: (first + i) % d.servers, Weight: 1 / float64(n)})
 		}
-		do(next, m, fleet[m].Handle(next, ev))
-		rate := 0.6 * servers * capacity / 3
-		if next >= start {
-			rate *= burst
+		p := fleet[m][rng.IntN(len(fleet[m]))]
+		do(next, p, p.Handle(next, ev))
+		rate := d.load * float64(d.servers) * capacity / 3
+		if next >= coldStart {
+			rate *= d.burst
 		}
 		next += rng.ExpFloat64() / rate
 	}
-	from := 0
-	for i, at := range arrivals {
-		for at-arrivals[from] > set.FallTime {
-			from++
-		}
-		warmth := set.ColdShare + (1-set.ColdShare)*(arrivals[from]-start)/set.WarmUp
-		allowed := set.FallMultiple * warmth * set.FallTime * capacity
-		n := float64(i - from + 1)
-		share = max(share, n/allowed)
-		fall = max(fall, n/(allowed+3*math.Sqrt(allowed)+3))
-	}
-	return share, fall
-}
-
-func filter(out dues, mixer int) (kept dues) {
-	for _, d := range out {
-		if d.mixer != mixer {
-			kept = append(kept, d)
+	for id, came := range arrivals {
+		from := 0
+		for i, at := range came {
+			for at-came[from] > set.FallTime {
+				from++
+			}
+			warmth := set.ColdShare + (1-set.ColdShare)*(came[from]-started[id])/set.WarmUp
+			allowed := set.FallMultiple * warmth * set.FallTime * capacity
+			n := float64(i - from + 1)
+			share = max(share, n/allowed)
+			beyond = max(beyond, n/(allowed+2*math.Sqrt(allowed)+2))
 		}
 	}
-	return kept
+	return share, beyond
 }
 
-// A cold server bears only so much from all brokers together, and each of hundreds sees little of it.
+// A cold server bears only so much from all brokers together, whether they are two, which see much of it, or hundreds
+// that see little each; and whoever is killed or replaced meanwhile.
 func TestAFleetDoesNotPushAColdServerOver(t *testing.T) {
-	for name, c := range map[string]struct {
-		blank, burst float64
-		alone        bool
-	}{
-		"all have seen a little":      {0, 1, false},
-		"a burst of 1.9":              {0, 1.9, false},
-		"seven in ten were killed":    {0.7, 1, false},
-		"all are blank, with a burst": {1, 1.9, false},
-		"alone, with a burst":         {0, 1.9, true},
-		"alone, blank, with a burst":  {0.7, 1.9, true},
-	} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			most, worst := 0.0, 0.0
-			for seed := range uint64(3) {
-				share, fall := coldFleet(seed, c.blank, c.burst, c.alone)
-				most, worst = max(most, share), max(worst, fall)
-				require.Greater(t, share, 0.02, "it gets work")
-			}
-			t.Logf("the fullest window holds %.2f of N, %.2f of what fells the server", most, worst)
-			require.Less(t, worst, 1.0)
-		})
+	for _, mixers := range []int{2, 5, 20, 30, 300} {
+		servers := 12
+		if mixers == 300 {
+			servers = 40
+		}
+		for name, d := range map[string]coldDay{
+			"all have seen a little":        {load: 0.6, burst: 1},
+			"a burst of 1.9":                {load: 0.6, burst: 1.9},
+			"at nine tenths":                {load: 0.9, burst: 1},
+			"seven in ten were killed":      {load: 0.6, burst: 1, blank: 0.7},
+			"all are blank, with a burst":   {load: 0.6, burst: 1.9, blank: 1},
+			"alone, with a burst":           {load: 0.6, burst: 1.9, alone: true},
+			"alone, blank, with a burst":    {load: 0.6, burst: 1.9, blank: 0.7, alone: true},
+			"six in ten replaced":           {load: 0.6, burst: 1, replaced: 0.6},
+			"six in ten replaced, a burst":  {load: 0.6, burst: 1.5, replaced: 0.6},
+			"a rolling restart":             {load: 0.6, burst: 1, rolling: true},
+			"a rolling restart and release": {load: 0.6, burst: 1.5, rolling: true, replaced: 0.5},
+			"a rolling restart, alone":      {load: 0.6, burst: 1.5, rolling: true, alone: true},
+		} {
+			d.mixers, d.servers = mixers, servers
+			t.Run(fmt.Sprint(mixers, " brokers, ", name), func(t *testing.T) {
+				t.Parallel()
+				most, worst := 0.0, 0.0
+				for seed := range uint64(3) {
+					share, beyond := d.play(seed)
+					most, worst = max(most, share), max(worst, beyond)
+					require.Greater(t, share, 0.02, "it gets work")
+				}
+				t.Logf("the fullest window holds %.2f of N, %.2f of N + 2 root N + 2", most, worst)
+				require.LessOrEqual(t, worst, 1.0)
+			})
+		}
 	}
 }
--- a/internal/cores/share.go
+++ b/internal/cores/share.go
@@ -149,7 +149,9 @@
 	switch status {
 	case cloverhook.OK:
 		seen.Kind = evidence.Good
-		s.bearing.Answered(now, s.warm())
+		if s.cold[id] == nil {
+			s.bearing.Answered(now, s.warm())
+		}
 	case cloverhook.TimedOut, cloverhook.Cancelled:
 		seen.Kind = evidence.Silent
 	case cloverhook.NotSent:
--- a/internal/lease/bearing.go
+++ b/internal/lease/bearing.go
@@ -35,7 +35,7 @@
 // Resize takes up how many brokers there are.
 func (b *Bearing) Resize(brokers int) { b.limits.Brokers = brokers }
 
-// Answered books an answer; so many servers are warm.
+// Answered books an answer of a warm server; so many are warm. What cold ones answer would pass for what few warm ones bear.
 func (b *Bearing) Answered(now float64, warm int) {
 	b.pass(now, warm)
 	b.rate++
@@ -45,7 +45,8 @@
 	dt := math.Max(now-b.at, 0)
 	b.at = now
 	b.rate *= math.Exp(-dt / rateSpan)
-	b.peak = math.Max(b.peak*math.Exp(-dt/peakSpan), b.rate/rateSpan/float64(max(warm, 1)))
+	sure := math.Max(b.rate-math.Sqrt(b.rate), 0) // less its deviation: the highest of few answers are chance
+	b.peak = math.Max(b.peak*math.Exp(-dt/peakSpan), sure/rateSpan/float64(max(warm, 1)))
 }
 
 // Warmth is the share of its capacity that a server surely has which started at a time; 1: it is warm.
--- a/policy.go
+++ b/policy.go
@@ -115,7 +115,7 @@
 	leftAges               recent.Ring   // ages of the latest queries whose clients left
 	leaving                float64       // averaged share of queries whose clients leave
 	taken, extra           []float64     // times of parts taken and of further attempts, for the budget
-	rate, rateAt           float64       // decayed count of parts answered, and when it was so
+	rate, sure, rateAt     float64       // decayed counts of parts answered, and those by warm servers; when
 	meanFitness            float64       // what an unreported server counts as
 	fleetBad               float64       // the fleet's median share of failed attempts
 	warm                   float64       // warm servers, at least a third of all
@@ -438,21 +438,20 @@
 	for _, s := range p.servers {
 		if s.ready() {
 			bad = append(bad, p.bad(s))
-			if p.warmth(s) >= 1 {
-				warm++
-			}
+			warm += int(p.warmth(s)) // which is 1 from then on
 		}
 	}
 	if len(bad) > 0 {
 		slices.Sort(bad)
 		p.fleetBad = bad[(len(bad)-1)/2]
 	}
-	p.warm = float64(max(warm, len(p.servers)/3, 1))
 	dt := p.now - p.rateAt
-	p.rateAt = p.now
+	p.rateAt, p.warm = p.now, float64(max(warm, len(p.servers)/3, 1))
 	fade, cold := math.Exp(-dt/rateSpan), float64(len(bad)-warm)
-	p.rate, p.drawn, p.chances = p.rate*fade, p.drawn*fade, p.chances*fade+cold*dt/math.Max(p.set.FallTime, 1)
-	p.peak = math.Max(p.peak*math.Exp(-dt/peakSpan), p.rate/rateSpan/p.warm)
+	p.rate, p.sure, p.drawn = p.rate*fade, p.sure*fade, p.drawn*fade
+	p.chances = p.chances*fade + cold*dt/math.Max(p.set.FallTime, 1)
+	sure := math.Max(p.sure-math.Sqrt(p.sure), 0) // less its deviation: the highest of few are chance
+	p.peak = math.Max(p.peak*math.Exp(-dt/peakSpan), sure/rateSpan/p.warm)
 	p.pace *= math.Exp2(-dt / paceFades)
 	p.memory = math.Min(memoryLeast+p.warm*rateSpan/math.Max(p.rate, 0.1), memoryMost)
 }
@@ -645,6 +644,7 @@
 	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.sentAt <= a.sentAt })
 	p.latency[pt.q.Class].Add(e.Latency)
 	p.rate++
+	p.sure += math.Floor(p.warmth(s)) // what many cold ones answer would pass for what few warm ones bear
 }
 
 func (p *Policy) cancelLive(pt *part) {
