--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -425,7 +425,9 @@
 		cn.answered(id)
 		j.state = jobOver
 		if r.Status == cloverhook.OK {
-			cn.l.answered(time.Since(j.at))
+			if !j.at.IsZero() { // it may come before the writer has noted that all is written
+				cn.l.answered(time.Since(j.at))
+			}
 			r.Value = append([]byte{}, m.Reply.Value...) // it outlives the buffer
 		}
 		j.call.Done(r)
