Have a drain bind links before the loop comes to the news, and ask probes again too

With several cores the list was in force at once already; now it is with one. A probe that waited for a connection was written without a look at its server (upstream, prepare); it is asked like a call. Both tests fail on the old code.

--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -383,3 +383,46 @@
 	r.b.Take(&broker.Request{ID: "q4", Arrived: time.Now(), Patience: time.Second, Parts: make([]broker.Part, 1)}, last)
 	require.Equal(t, broker.Refused, (<-last).Outcome, "at once")
 }
+
+// stuck is a client that holds up the loop until the test lets it go.
+type stuck chan struct{}
+
+func (s stuck) Finish(broker.Result) { s <- struct{}{}; <-s }
+
+// A loop that is far behind must not delay what a drain forbids: links see it at once.
+func TestTheListIsInForceBeforeTheLoopComesToIt(t *testing.T) {
+	r := newRig(t)
+	_, part, _, req := r.take("q", safe, 1, time.Second)
+	waiting := r.send(part, "s1")
+	loop := make(stuck)
+	r.b.Take(req, loop) // a second of its name
+	<-loop
+	go r.b.Update(broker.List{Mode: cloverhook.ListDelta, Servers: []broker.ListEntry{{Addr: "s1",
+		Server: cloverhook.Server{ID: "s1", Cell: 1, State: cloverhook.Draining}}}})
+	require.Eventually(t, waiting.Server.Leaving, time.Second, time.Millisecond)
+	require.False(t, waiting.Begin())
+	loop <- struct{}{}
+	require.Equal(t, cloverhook.NotSent, event[cloverhook.Ended](r).Status)
+}
+
+// A probe that has waited for a connection is asked again like a call.
+func TestNoProbeToAServerThatLeaves(t *testing.T) {
+	r := newRig(t)
+	probes := make(chan *broker.Probe, 1)
+	r.b = broker.New(broker.Options{Settings: cloverhook.Settings{Cells: 4, Reach: 2}}, r.script, keeps{r.link, probes})
+	go r.b.Run(t.Context())
+	r.list(cloverhook.ListFull, "s0", 0, cloverhook.Ready, "s1", 1, cloverhook.Ready)
+	r.do(cloverhook.Probe{Server: "s0"}, cloverhook.Probe{Server: "s1"})
+	stays, leaves := <-probes, <-probes
+	r.list(cloverhook.ListDelta, "s1", 1, cloverhook.Draining)
+	require.True(t, stays.Begin())
+	require.False(t, leaves.Begin())
+	require.Equal(t, cloverhook.NotSent, event[cloverhook.Probed](r).Status)
+}
+
+type keeps struct {
+	link
+	probes chan *broker.Probe
+}
+
+func (k keeps) Probe(p *broker.Probe) { k.probes <- p }
--- a/internal/broker/call.go
+++ b/internal/broker/call.go
@@ -225,6 +225,14 @@
 	}
 }
 
+// Begin is asked just before the first byte of a probe is written, as for a call.
+func (p *Probe) Begin() bool {
+	if p.Server.Leaving() || !time.Now().Before(p.Deadline) {
+		p.Done(Reply{Status: cloverhook.NotSent, Load: cloverhook.NoLoad})
+	}
+	return !p.over.Load()
+}
+
 func (b *Broker) probe(id string) {
 	s := b.servers.get(id)
 	if s == nil || s.Leaving() {
--- a/internal/broker/list.go
+++ b/internal/broker/list.go
@@ -94,9 +94,13 @@
 	return s.listed
 }
 
-// Update hands news of the server list to the core, and returns once it has it. Where loops share their Servers,
-// whoever hands the list to all of them has applied it there before.
+// Update hands news of the server list to the core, and returns once it has it. From the first moment on nothing new is
+// begun at a server that leaves, however far behind the loop is. Where loops share their Servers, whoever hands the list
+// to all of them has applied it there before.
 func (b *Broker) Update(l List) {
+	if b.opt.Servers == nil {
+		b.servers.Apply(l)
+	}
 	select {
 	case <-b.News(l):
 	case <-b.stopped:
@@ -107,9 +111,6 @@
 func (b *Broker) News(l List) <-chan struct{} {
 	taken := make(chan struct{})
 	b.post(func() {
-		if b.opt.Servers == nil {
-			b.servers.Apply(l)
-		}
 		b.tell(l.Event())
 		close(taken)
 	})
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -332,6 +332,10 @@
 		return buf, false
 	}
 	if j.probe != nil {
+		if !j.probe.Begin() {
+			j.state = jobOver
+			return buf, false
+		}
 		letter := byte('H')
 		if j.probe.Load {
 			letter = 'M'
