Tell who finds no room when to come back, without a reset over the request

Four at a time now get a lingering close; more are just closed, as there are no descriptors left. On the old code TestWhoFindsNoRoomIsToldSo reads a reset.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -51,18 +51,7 @@
 // serve drives the connection until it ends. One read is always out, so that a client that goes away while
 // it waits is noticed: at once, on the reader's goroutine, whatever else is going on.
 func (c *conn) serve() {
-	c.spaces, c.ends = make(chan []byte, 1), make(chan readEnd, 1)
-	go func() {
-		for p := range c.spaces {
-			n, err := c.sock.Read(p)
-			if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-				c.left.Store(true)
-			}
-			c.ends <- readEnd{n, err, time.Now()}
-		}
-	}()
-	defer close(c.spaces)
-	defer c.sock.Close()
+	defer c.open()()
 	limit := FirstLimit
 	if c.f.state().idle {
 		limit = drain.LastAnswers
@@ -157,6 +146,24 @@
 	}
 }
 
+// open starts the reader; the returned function ends it, and the connection.
+func (c *conn) open() (end func()) {
+	c.spaces, c.ends = make(chan []byte, 1), make(chan readEnd, 1)
+	go func() {
+		for p := range c.spaces {
+			n, err := c.sock.Read(p)
+			if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+				c.left.Store(true)
+			}
+			c.ends <- readEnd{n, err, time.Now()}
+		}
+	}()
+	return func() {
+		c.sock.Close()
+		close(c.spaces)
+	}
+}
+
 // space is where the next bytes go. Behind a held request only so much is kept: what comes beyond is read and
 // forgotten, so that its client's close is noticed, and the connection ends after the answer.
 func (c *conn) space() []byte {
@@ -211,6 +218,7 @@
 var (
 	errTooSlow = &httpwire.Error{Status: 408, Reason: "the request did not come whole in time"}
 	errFlood   = &httpwire.Error{Status: 413, Reason: "too much came behind a request that is not answered yet"}
+	errFull    = &httpwire.Error{Status: 503, Reason: "too many requests are held"}
 	errNoRoom  = &httpwire.Error{Status: 503, Reason: "no room for a request of this size now"}
 )
 
--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -312,3 +312,30 @@
 	silent.Close()
 	require.Less(t, (<-ended).Sub(began), time.Second)
 }
+
+// Where all connections hold requests, one more is told when to come back, not reset over what it has sent.
+func TestWhoFindsNoRoomIsToldSo(t *testing.T) {
+	x := start(t, Options{ConnsMax: 1})
+	c, in, _ := x.dial()
+	fmt.Fprint(c, ask("q"))
+	q := <-x.taken
+	for range 10 { // each gives its place back
+		s, err := net.Dial("tcp", x.l.Addr().String())
+		require.NoError(t, err)
+		defer s.Close()
+		s.SetDeadline(time.Now().Add(2 * time.Second))
+		fmt.Fprint(s, ask("more"))
+		time.Sleep(5 * time.Millisecond)
+		in := bufio.NewReader(s)
+		head, err := in.ReadString('\n')
+		require.NoError(t, err)
+		require.Equal(t, "HTTP/1.1 503 Service Unavailable\r\n", head)
+		all, err := io.ReadAll(in)
+		require.NoError(t, err)
+		require.Contains(t, string(all), "Retry-After: 0.5\r\n")
+		s.Close()
+	}
+	q.Finish(broker.Result{Whole: true})
+	require.Equal(t, "HTTP/1.1 200 OK", answer(t, in))
+	require.Empty(t, x.taken)
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -12,7 +12,6 @@
 
 	"cloverhook/internal/broker"
 	"cloverhook/internal/drain"
-	"cloverhook/internal/httpwire"
 	"cloverhook/internal/tally"
 )
 
@@ -28,6 +27,7 @@
 	lingerFor  = 500 * time.Millisecond  // for a client to take its last answer and close
 	lingerMost = 256 << 10               // bytes taken and forgotten meanwhile
 	behindMost = 1 << 20                 // and behind a request that is held, beyond what is kept
+	awayMost   = 4                       // connections without room that are told so, at once
 	readMost   = 16 << 10                // bytes forgotten at once
 	keepMost   = 16 << 10                // bytes of a connection's write buffer that are kept for the next answer
 )
@@ -56,6 +56,7 @@
 	core  Core
 	log   *slog.Logger
 	slots chan struct{}
+	away  chan struct{} // of connections that are turned away
 	wg    sync.WaitGroup
 
 	mu      sync.Mutex
@@ -83,7 +84,7 @@
 func New(opt Options, core Core, log *slog.Logger) *Front {
 	return &Front{
 		opt: opt, core: core, log: log, slots: make(chan struct{}, max(opt.ConnsMax, 1)),
-		conns: map[*conn]struct{}{}, accepted: make(chan struct{}),
+		away: make(chan struct{}, awayMost), conns: map[*conn]struct{}{}, accepted: make(chan struct{}),
 	}
 }
 
@@ -106,14 +107,11 @@
 			time.Sleep(10 * time.Millisecond) // out of descriptors: some will come free
 			continue
 		}
+		c := &conn{f: f, sock: sock, reply: make(chan broker.Result, 1), wake: make(chan struct{}, 1)}
 		if !f.room() {
-			// Guards the descriptors: with too many requests, one more is told so and closed.
-			sock.SetWriteDeadline(time.Now().Add(10 * time.Millisecond))
-			sock.Write((&httpwire.Response{Status: 503, RetryAfter: f.opt.Advice, Close: true}).Append(nil))
-			sock.Close()
+			f.turnAway(c)
 			continue
 		}
-		c := &conn{f: f, sock: sock, reply: make(chan broker.Result, 1), wake: make(chan struct{}, 1)}
 		f.mu.Lock()
 		f.conns[c] = struct{}{}
 		f.queue(c, &f.fresh)
@@ -132,6 +130,22 @@
 	}
 }
 
+// turnAway tells a client that there are too many requests. Closing over its own would reset the connection, and the
+// answer with it; but only few are given the time to read it, since descriptors are what there is none left of.
+func (f *Front) turnAway(c *conn) {
+	select {
+	case f.away <- struct{}{}:
+	default:
+		c.sock.Close()
+		return
+	}
+	f.wg.Go(func() {
+		defer func() { <-f.away }()
+		defer c.open()()
+		c.refuse(errFull)
+	})
+}
+
 // room takes a slot for one more connection. It guards usual clients against those that connect and say
 // nothing, send half a request or hold their connection for good: such a connection, which waits for no
 // answer, is closed where there is no other slot. Only requests that are held can fill the front.
@@ -178,11 +192,13 @@
 	return c.evicted
 }
 
-// lingers puts a connection among those that have had their last answer.
+// lingers puts a connection among those that have had their last answer, unless it had no place to give up.
 func (f *Front) lingers(c *conn) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.queue(c, &f.past)
+	if _, held := f.conns[c]; held {
+		f.queue(c, &f.past)
+	}
 }
 
 // begin notes that a request has begun to come. Its connection is the last to make room, once it has had some.
