Fit all that holds a descriptor within the limit, and refuse absurd settings by their key

Read: at 64 descriptors clients, servers and what the process itself needs came to 71; Flight's client connections (64), its links (without a bound) and callers of the control address (24) were not counted at all, so on 256 descriptors a dial to discovery could find none. Now they are taken off clients' and servers' shares, and Flight's links are bounded. Times of 1e18 s overflowed, a connect time-out below 1 ns was none at all, a class without an aim was refused whole: each value that can be absent, zero, tiny, huge or negative is refused by its key or serves (TestAbsurdSettingsAreRefusedByKeyOrServe).

--- a/cmd/mothrouter/main.go
+++ b/cmd/mothrouter/main.go
@@ -93,15 +93,17 @@
 		g.Open, g.Entries, g.Avoided = core.Gauges()
 		return g
 	})
-	var link broker.Link = upstream.New(ctx, upstream.Options{
-		Streams: cfg.Streams, Conns: cfg.ServerConns, Idle: cfg.ConnIdle, ConnectTimeout: cfg.ConnectTimeout,
-		Relayed: figures.Relayed,
-	})
 	var partners *config.Flight
 	if files.flight != "" {
-		if partners, err = config.LoadFlight(files.flight); err != nil {
+		if partners, err = config.LoadFlight(files.flight, cfg); err != nil {
 			return err
 		}
+	}
+	var link broker.Link = upstream.New(ctx, upstream.Options{
+		Streams: cfg.Streams, Conns: cfg.ServerConns, Idle: cfg.ConnIdle, ConnectTimeout: cfg.ConnectTimeout,
+		Relayed: figures.Relayed,
+	})
+	if partners != nil {
 		link = mixed(ctx, cfg, partners, link)
 	}
 	// Beside the loops run the parts; a part that rests on another is added, and so started, after it.
@@ -322,6 +324,6 @@
 		speaks[id] = true
 	}
 	return &flight.Mixed{Frames: frames, Speaks: speaks, Flight: flight.NewLink(ctx, flight.LinkOptions{
-		Streams: cfg.Streams, Idle: cfg.ConnIdle, ConnectTimeout: cfg.ConnectTimeout,
+		Streams: cfg.Streams, Conns: partners.ServerConns, Idle: cfg.ConnIdle, ConnectTimeout: cfg.ConnectTimeout,
 	})}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -13,6 +14,7 @@
 
 	"cloverhook"
 	"cloverhook/internal/broker"
+	"cloverhook/internal/control"
 	"cloverhook/internal/discovery"
 	"cloverhook/internal/wire"
 )
@@ -53,9 +55,14 @@
 	defaultMemoryMB = 192
 	defaultSockets  = 1024
 	leastSockets    = 64
+	mostSockets     = 1 << 20
+	mostMemoryMB    = 1 << 20
+	mostSeconds     = 1e6 // of any time
 
 	idleShare   = 1. / 6 // of the descriptors: half of what clients hold at most for requests
-	spareShare  = 1. / 8 // of the descriptors, for the watch, the listener and what just closes
+	spareShare  = 1. / 8 // of the descriptors, for the watch, the listener and what just closes,
+	spareLeast  = 16     // and so many at least: 6 of the process, 4 calls to discovery, 1 accepted, 4 turned away
+	clientLeast = 8      // connections of clients
 	serverShare = 3. / 8 // of the descriptors at least; clients have the rest
 	serverMost  = 1. / 2 // of the descriptors, where there are more servers than that
 	serverConns = 9. / 8 // of the cells: a server has one, and parts that must not run twice go alone
@@ -169,13 +176,13 @@
 		}
 	}
 	if n := f.Limits.MemoryMB; n != nil {
-		if c.MemoryMB = *n; *n < 16 {
-			return nil, bad("limits.memory_mb", "%d is too little", *n)
+		if c.MemoryMB = *n; *n < 16 || *n > mostMemoryMB {
+			return nil, bad("limits.memory_mb", "%d is outside 16 to %d", *n, mostMemoryMB)
 		}
 	}
 	if n := f.Limits.Sockets; n != nil {
-		if c.Sockets = *n; *n < leastSockets {
-			return nil, bad("limits.sockets", "%d is too little, at least %d", *n, leastSockets)
+		if c.Sockets = *n; *n < leastSockets || *n > mostSockets {
+			return nil, bad("limits.sockets", "%d is outside %d to %d", *n, leastSockets, mostSockets)
 		}
 	}
 	c.Buffers = int(bufferShare * float64(c.MemoryMB<<20))
@@ -185,7 +192,11 @@
 	// A query may ask all servers at once. Guards against a fleet where some stay without a connection.
 	all := float64(c.Sockets)
 	c.ServerConns = int(min(max(serverShare*all, serverConns*float64(c.Settings.Cells)), serverMost*all))
-	c.ClientConns, c.IdleConns = int((1-spareShare)*all)-c.ServerConns, int(idleShare*all)
+	c.ClientConns = min(int((1-spareShare)*all), c.Sockets-spareLeast) - c.ServerConns
+	if c.IdleConns = int(idleShare * all); c.Control != "" {
+		c.ClientConns = max(c.ClientConns-control.Callers, clientLeast)
+	}
+	c.IdleConns = min(c.IdleConns, c.ClientConns/2)
 	if f.Known != nil {
 		if c.Known, err = c.Names.List(*f.Known); err != nil {
 			return nil, bad("known", "%v", err)
@@ -261,13 +272,19 @@
 		if _, twice := c.Classes[class.Name]; class.Name == "" || twice {
 			return bad(fmt.Sprintf("settings.classes[%d].name", i), "%q is empty or stands twice", class.Name)
 		}
-		if c.Settings.Classes[i].Deadline <= 0 {
-			return bad(fmt.Sprintf("settings.classes[%d].deadlineS", i), "must be above 0")
+		if err := c.class(i); err != nil {
+			return err
 		}
 		c.Classes[class.Name] = i
 	}
-	if c.Settings.Cells <= 0 {
-		return bad("settings.familyInfo.cells", "must be above 0")
+	if c.Settings.Cells <= 0 || c.Settings.Cells > mostSockets {
+		return bad("settings.familyInfo.cells", "%d is outside 1 to %d", c.Settings.Cells, mostSockets)
+	}
+	if t := c.Settings.Tick; t < 0 || t > 1 {
+		return bad("settings.tickS", "%g is outside 0 to 1", t)
+	}
+	if t := c.Settings.MaxWait; t < 0 || t > mostSeconds {
+		return bad("settings.caps.maxRetryAfterS", "%g is outside 0 to %g", t, mostSeconds)
 	}
 	if c.OpenCap, c.Shards = s.Caps.OpenCap, s.Family.Shards; c.OpenCap < 0 {
 		return bad("settings.caps.openCap", "%d is negative", c.OpenCap)
@@ -289,10 +306,30 @@
 		if d.v == nil {
 			continue
 		}
-		if !(*d.v > 0) {
-			return bad(d.key, "must be above 0")
+		if !(*d.v > 0 && *d.v <= mostSeconds) {
+			return bad(d.key, "%g is outside 0 to %g, or 0", *d.v, mostSeconds)
 		}
-		*d.to = time.Duration(*d.v * float64(time.Second))
+		*d.to = max(time.Duration(*d.v*float64(time.Second)), time.Millisecond) // nothing would be no limit
+	}
+	return nil
+}
+
+// class checks a class. One that names no aim is wanted within its deadline.
+func (c *Config) class(i int) error {
+	class := &c.Settings.Classes[i]
+	key := func(name string) string { return fmt.Sprintf("settings.classes[%d].%s", i, name) }
+	if !(class.Deadline > 0 && class.Deadline <= mostSeconds) {
+		return bad(key("deadlineS"), "%g is outside 0 to %g, or 0", class.Deadline, mostSeconds)
+	}
+	if class.Aim < 0 || class.Aim > mostSeconds {
+		return bad(key("objectiveS"), "%g is outside 0 to %g", class.Aim, mostSeconds)
+	}
+	class.Aim = cmp.Or(class.Aim, class.Deadline)
+	if !(class.Need > 0 && class.Need <= 1) {
+		return bad(fmt.Sprintf("settings.familyInfo.needByClass[%d]", i), "%g is outside 0 to 1, or 0", class.Need)
+	}
+	if !(class.Floor >= 0 && class.Floor <= 1) {
+		return bad(fmt.Sprintf("settings.familyInfo.classFloor[%d]", i), "%g is outside 0 to 1", class.Floor)
 	}
 	return nil
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,8 +1,11 @@
 package config_test
 
 import (
+	"context"
+	"fmt"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -10,7 +13,9 @@
 	"github.com/stretchr/testify/require"
 
 	"cloverhook"
+	"cloverhook/internal/broker"
 	"cloverhook/internal/config"
+	"cloverhook/internal/drain"
 )
 
 const good = `{"name":"n3","listen":"127.0.0.1:8443","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
@@ -136,7 +141,7 @@
 }
 
 func TestFlight(t *testing.T) {
-	f, err := config.LoadFlight("../../deploy/flight.toml")
+	f, err := config.LoadFlight("../../deploy/flight.toml", roomy(t))
 	require.NoError(t, err)
 	require.Equal(t, &config.Flight{Listen: "127.0.0.1:8815", Servers: []string{}, Connections: 64}, f)
 	for text, want := range map[string]string{
@@ -148,7 +153,7 @@
 	} {
 		path := filepath.Join(t.TempDir(), "f.toml")
 		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
-		_, err := config.LoadFlight(path)
+		_, err := config.LoadFlight(path, roomy(t))
 		require.ErrorContains(t, err, want)
 	}
 }
@@ -179,3 +184,106 @@
 	_, err = config.LoadCores("nowhere.toml", c)
 	require.ErrorContains(t, err, "cores:")
 }
+
+// Whatever is switched on, all that may hold a descriptor at once fits the limit.
+func TestDescriptorsFitTheLimit(t *testing.T) {
+	const process, calls, accepted, away = 6, 4, 1, 4 // as config.spareLeast counts
+	file := filepath.Join(t.TempDir(), "flight.toml")
+	require.NoError(t, os.WriteFile(file, []byte("listen = \"127.0.0.1:9\"\nconnections = 20\nservers = [\"a\", \"b\", \"c\"]\n"), 0o600))
+	for _, sockets := range []int{64, 100, 256, 512, 1024, 4096} {
+		for _, cells := range []string{"4", "200", "2000"} {
+			for _, control := range []string{"", "127.0.0.1:7"} {
+				for _, partners := range []bool{false, true} {
+					text := strings.Replace(strings.Replace(good, `"sockets":512`, fmt.Sprint(`"sockets":`, sockets), 1), `"cells":4`, `"cells":`+cells, 1)
+					c, err := load(t, text, map[string]string{"PROXY_CONTROL": control})
+					require.NoError(t, err)
+					held := 0
+					if partners {
+						f, err := config.LoadFlight(file, c)
+						if err != nil {
+							require.ErrorContains(t, err, "flight.connections")
+							require.Less(t, sockets, 256)
+							continue
+						}
+						held = f.Connections + f.ServerConns
+					}
+					if control != "" && sockets >= 256 {
+						held += 24 + 1
+					}
+					held += c.ClientConns + c.ServerConns + process + calls + accepted + away
+					require.LessOrEqual(t, held, sockets+1, "%d sockets, %s cells, control %q, Flight %v", sockets, cells, control, partners)
+					require.GreaterOrEqual(t, c.ClientConns, 8)
+					require.Positive(t, c.IdleConns)
+				}
+			}
+		}
+	}
+}
+
+// Absent, zero, tiny, huge and negative: each is refused by its key, or what is made of it serves.
+func TestAbsurdSettingsAreRefusedByKeyOrServe(t *testing.T) {
+	full := strings.Replace(good, `"settings":{`, `"settings":{"peersTotal":3,"tickS":0.005,"report":{"how":"piggyback"},
+		"rules":{"coldShare":0.2,"warmUpS":17,"fallMultiple":2.5,"fallS":1.5,"drainGraceS":0.25,"budgetFree":3,"extraRatio":0.2,"budgetSpanS":10},`, 1)
+	full = strings.Replace(full, `"caps":{`, `"caps":{"maxRetryAfterS":0.5,"sendCap":4,"retryAfter":true,"cancel":true,"probes":true,`, 1)
+	full = strings.Replace(full, `"semantics":"free"}`, `"semantics":"guarded","windowS":2,"lateWorth":0.5,"worth":3,"aimStretch":1}`, 1)
+	full = strings.Replace(full, `"slabs":8`, `"slabs":8,"reach":2,"bundleMax":1,"needByClass":[1],"classFloor":[0.8]`, 1)
+	_, err := load(t, full, nil)
+	require.NoError(t, err)
+	keys := regexp.MustCompile(`"(\w+)":\[?(-?[\d.]+)\]?`).FindAllStringSubmatch(full, -1)
+	require.Greater(t, len(keys), 30)
+	for _, k := range keys {
+		for _, v := range []string{"", "0", "1e-9", "1", "1e18", "1e300", "-1"} {
+			odd := strings.Replace(full, k[0], strings.Replace(k[0], k[2], v, 1), 1)
+			if v == "" {
+				odd = strings.Replace(strings.Replace(full, k[0]+",", "", 1), ","+k[0], "", 1)
+			}
+			c, err := load(t, odd, nil)
+			if err != nil {
+				require.ErrorContains(t, err, k[1], "%s: %s", k[1], v)
+				continue
+			}
+			serves(t, c, k[1]+": "+v)
+		}
+	}
+}
+
+type okLink struct{}
+
+func (okLink) Send(c *broker.Call) {
+	if c.Begin() {
+		c.Done(broker.Reply{Status: cloverhook.OK, Load: cloverhook.NoLoad, Value: []byte("v")})
+	}
+}
+func (okLink) Cancel(*broker.Call)   {}
+func (okLink) Probe(p *broker.Probe) { p.Done(broker.Reply{Load: cloverhook.NoLoad}) }
+
+type result chan broker.Result
+
+func (r result) Finish(x broker.Result) { r <- x }
+
+func serves(t *testing.T, c *config.Config, what string) {
+	b := broker.New(broker.Options{Settings: c.Settings, OpenCap: c.OpenCap}, cloverhook.New(c.Settings, 1), okLink{})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go b.Run(ctx)
+	b.Update(broker.List{Mode: cloverhook.ListFull, Servers: []broker.ListEntry{
+		{Addr: "a", Server: cloverhook.Server{ID: "a", Started: float64(time.Now().Unix())}}, {Addr: "b", Server: cloverhook.Server{ID: "b", Cell: 1}}}})
+	answer := make(result, 1)
+	b.Take(&broker.Request{ID: "q", Arrived: time.Now(), Patience: 300 * time.Millisecond, Parts: []broker.Part{{Shard: 1, Share: 1}}}, answer)
+	select {
+	case <-answer:
+	case <-time.After(2 * time.Second):
+		require.FailNow(t, "no answer", what)
+	}
+	end := drain.PlanEnd(c.Longest())
+	require.Positive(t, end.Accepts, what)
+	require.Less(t, end.Gone, 4*time.Second, what)
+	require.GreaterOrEqual(t, c.ConnectTimeout, time.Millisecond, what)
+	require.Positive(t, c.Buffers, what)
+}
+
+func roomy(t *testing.T) *config.Config {
+	c, err := load(t, good, nil)
+	require.NoError(t, err)
+	return c
+}
--- a/internal/config/flight.go
+++ b/internal/config/flight.go
@@ -11,10 +11,11 @@
 	Listen      string   `toml:"listen"`
 	Servers     []string `toml:"servers"`     // ids of record servers that speak Flight
 	Connections int      `toml:"connections"` // of clients, at most
+	ServerConns int      `toml:"-"`           // to those servers, at most
 }
 
-// LoadFlight reads the Flight file.
-func LoadFlight(path string) (*Flight, error) {
+// LoadFlight reads the Flight file. The descriptors that it takes are taken off those of c's clients and servers.
+func LoadFlight(path string, c *Config) (*Flight, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, bad("flight", "%v", err)
@@ -38,5 +39,11 @@
 	if f.Connections < 1 {
 		return nil, bad("flight.connections", "%d is below 1", f.Connections)
 	}
+	if c.ClientConns -= f.Connections; c.ClientConns < clientLeast {
+		return nil, bad("flight.connections", "%d is too many: limits.sockets %d leaves none for other clients", f.Connections, c.Sockets)
+	}
+	c.IdleConns = min(c.IdleConns, c.ClientConns/2)
+	f.ServerConns = min(2*len(f.Servers), c.ServerConns/2) // one each, and one for what must not wait behind it
+	c.ServerConns -= f.ServerConns
 	return f, nil
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -13,7 +13,7 @@
 	wholeLimit = 600 * time.Millisecond // for a call to come whole; a reply is due within 1 s
 	writeLimit = 300 * time.Millisecond // for a caller to take its reply
 	lingerFor  = 100 * time.Millisecond
-	callers    = 24 // at once; the one that has been silent longest makes room for another
+	Callers    = 24 // at once; the one that has been silent longest makes room for another
 )
 
 // Process is what operators steer. Its methods are called by any goroutine and must not wait for a loop.
@@ -64,7 +64,7 @@
 func (s *Server) enter(c net.Conn) *list.Element {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.open.Len() >= callers {
+	if s.open.Len() >= Callers {
 		s.open.Remove(s.open.Front()).(net.Conn).Close()
 	}
 	return s.open.PushBack(c)
--- a/internal/flight/link.go
+++ b/internal/flight/link.go
@@ -27,6 +27,7 @@
 // LinkOptions are what the deployment fixes.
 type LinkOptions struct {
 	Streams        int           // calls that one connection carries at once
+	Conns          int           // connections held at most; 0: no bound
 	Idle           time.Duration // connections idle for so long are closed
 	ConnectTimeout time.Duration
 }
@@ -38,6 +39,7 @@
 
 	mu    sync.Mutex // guards what follows
 	conns map[string][]*channel
+	held  int // connections in all
 	calls map[*broker.Call]context.CancelFunc
 }
 
@@ -83,6 +85,9 @@
 			return ch, nil
 		}
 	}
+	if l.opt.Conns > 0 && l.held >= l.opt.Conns && !l.makeRoom() {
+		return nil, errNoConn
+	}
 	conn, err := grpc.NewClient("passthrough:///"+addr,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		// A part's attempts are the core's to decide: gRPC repeats none by itself.
@@ -99,9 +104,25 @@
 	}
 	ch := &channel{conn: conn, client: flight.NewClientFromConn(conn, nil), calls: 1}
 	l.conns[addr] = append(l.conns[addr], ch)
+	l.held++
 	return ch, nil
 }
 
+var errNoConn = errors.New("no connection is left")
+
+// makeRoom closes a connection without calls. The caller holds mu.
+func (l *Link) makeRoom() bool {
+	for addr, list := range l.conns {
+		for _, ch := range list {
+			if ch.calls == 0 {
+				l.drop(addr, ch)
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // release takes a call off a connection. One without calls is closed: at once where it is not the server's
 // only one, else when it has been idle, so that servers that are gone leave nothing behind.
 func (l *Link) release(addr string, ch *channel) {
@@ -125,6 +146,9 @@
 // drop closes a connection and forgets it. The caller holds mu.
 func (l *Link) drop(addr string, ch *channel) {
 	list := slices.DeleteFunc(l.conns[addr], func(other *channel) bool { return other == ch })
+	if len(list) < len(l.conns[addr]) {
+		l.held--
+	}
 	if l.conns[addr] = list; len(list) == 0 {
 		delete(l.conns, addr)
 	}
@@ -198,7 +222,7 @@
 func (l *Link) get(ctx context.Context, c *broker.Call) broker.Reply {
 	ch, err := l.acquire(c.Addr)
 	if err != nil {
-		return reply(cloverhook.Unreachable)
+		return reply(cloverhook.NotSent) // which tells nothing of the server
 	}
 	defer l.release(c.Addr, ch)
 	ticket, err := json.Marshal(PartTicket{frame.PartID(c.Query, c.Shard), c.Shard, string(c.Text)})
@@ -290,7 +314,7 @@
 func (l *Link) ask(ctx context.Context, p *broker.Probe) broker.Reply {
 	ch, err := l.acquire(p.Addr)
 	if err != nil {
-		return reply(cloverhook.Unreachable)
+		return reply(cloverhook.NotSent)
 	}
 	defer l.release(p.Addr, ch)
 	stream, err := ch.client.DoAction(ctx, &flight.Action{Type: "load"})
