--- a/cmd/mothrouter/exchange_test.go
+++ b/cmd/mothrouter/exchange_test.go
@@ -128,7 +128,9 @@
 	for _, name := range known {
 		servers = append(servers, p.entry(name, "active"))
 	}
-	p.listen = unused(p.t)
+	if p.listen == "" { // a restart keeps its address
+		p.listen = unused(p.t)
+	}
 	p.config = filepath.Join(p.t.TempDir(), "config.json")
 	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"1","limits":{"memory_mb":192,"sockets":%d},
 		"known":{"version":41,"full":true,"servers":[%s]},"settings":%s}`, p.listen, p.listener("discovery").Addr(),
