--- a/cmd/mothrouter/moments_test.go
+++ b/cmd/mothrouter/moments_test.go
@@ -35,6 +35,7 @@
 			p.conn("s0")                                                        // takes the part and is silent
 			require.Contains(t, read(t, p.ins["a"]), "503 Service Unavailable") // a lookup may be asked again
 			require.Less(t, time.Since(told), 3600*time.Millisecond)
+			c.Close()
 			require.NoError(t, p.cmd.Wait())
 			require.Less(t, time.Since(told), 3700*time.Millisecond)
 		})
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -35,7 +35,7 @@
 	killedAfter = 700 * time.Millisecond // no sooner than the longest deadline and this comes SIGKILL,
 	longestMost = 3 * time.Second        // a longer one counting as this
 	killLead    = 200 * time.Millisecond // before that all is answered
-	goneLead    = 50 * time.Millisecond
+	goneLead    = 100 * time.Millisecond
 )
 
 // PlanEnd plans the end where so long is the longest time that a client waits. Guards against short deadlines: a
--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -146,6 +146,16 @@
 	require.Equal(x, "HTTP/1.1 200 OK", answer(x.T, in))
 }
 
+// rests waits until so many connections are between requests: the client has its answer a moment before.
+func (x *fixture) rests(n int) {
+	x.Helper()
+	require.Eventually(x, func() bool {
+		x.f.mu.Lock()
+		defer x.f.mu.Unlock()
+		return x.f.kept.Len() == n
+	}, 2*time.Second, time.Millisecond)
+}
+
 // answer reads an answer and returns its first line.
 func answer(t *testing.T, in *bufio.Reader) string {
 	t.Helper()
@@ -194,6 +204,7 @@
 			x := start(t, opt)
 			c, in, gate := x.dial()
 			x.answered(c, in, "first")
+			x.rests(1)
 			close(gate.shut)
 			fmt.Fprint(c, ask("second"))
 			<-gate.read
