--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -18,11 +18,11 @@
 	"cloverhook/internal/backoff"
 	"cloverhook/internal/broker"
 	"cloverhook/internal/httpwire"
-	"cloverhook/internal/vigil"
+	"cloverhook/internal/listwatch"
 )
 
 // dialLimit is as long as a call may take: a first packet that is lost is sent again after a second.
-const dialLimit = vigil.CallLimit
+const dialLimit = listwatch.CallLimit
 
 // Names translates the names of zones and kinds to their numbers in the settings.
 type Names struct{ Zones, Kinds []string }
@@ -75,7 +75,7 @@
 	return l, nil
 }
 
-// Watcher follows the list and hands its news to Update. It drives a vigil, which decides when to call and which calls
+// Watcher follows the list and hands its news to Update. It drives a listwatch, which decides when to call and which calls
 // stay open.
 type Watcher struct {
 	Addr   string // where the first watch goes; Move names another
@@ -111,7 +111,7 @@
 	end  error
 }
 
-// Run follows the list until ctx ends. The calls only read; this goroutine owns the list's version and the vigil.
+// Run follows the list until ctx ends. The calls only read; this goroutine owns the list's version and the listwatch.
 func (w *Watcher) Run(ctx context.Context) {
 	w.init()
 	if w.Waits == nil {
@@ -119,9 +119,9 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watch, addr, words := vigil.New(w.Waits, time.Now()), w.Addr, make(chan word)
+	watch, addr, words := listwatch.New(w.Waits, time.Now()), w.Addr, make(chan word)
 	open := map[int]context.CancelFunc{}
-	do := func(actions []vigil.Action) {
+	do := func(actions []listwatch.Action) {
 		for _, a := range actions {
 			if a.Close {
 				w.Log.Info("a silent watch of the server list is closed", "since", w.Since)
--- a/internal/vigil/vigil.go
+++ b/internal/listwatch/listwatch.go
@@ -1,4 +1,4 @@
-// Package vigil decides how a broker keeps watch over the server list: when a watch counts as broken, when to call
+// Package listwatch decides how a broker keeps watch over the server list: when a watch counts as broken, when to call
 // again, and which calls stay open meanwhile. It does no I/O and keeps no clock: a driver hands in the time and what
 // happened, and opens and closes calls as it is told.
 //
@@ -7,7 +7,7 @@
 // from the moment at which the agent has it. An agent that is silent answers the calls that are open as soon as it has
 // something to tell, and only those. So a silent call is not given up for a new one: it stays open until another has
 // spoken, and a broker is never deaf while it waits to call again.
-package vigil
+package listwatch
 
 import (
 	"slices"
@@ -41,8 +41,8 @@
 	doubt  bool // it has been silent for too long, and another call is under way or waited for
 }
 
-// Vigil is one broker's watch. Make it with New.
-type Vigil struct {
+// Watch is one broker's watch. Make it with New.
+type Watch struct {
 	waits *backoff.Backoff
 	calls []call // in the order of their beginning
 	last  int    // id of the latest
@@ -53,140 +53,140 @@
 }
 
 // New returns a watch that makes its first call after a wait.
-func New(waits *backoff.Backoff, now time.Time) *Vigil {
-	v := &Vigil{waits: waits}
-	v.plan(now)
-	return v
+func New(waits *backoff.Backoff, now time.Time) *Watch {
+	w := &Watch{waits: waits}
+	w.plan(now)
+	return w
 }
 
 // plan has the next call made after a wait that ends early enough for its answer. Guards against waits that grow while
 // calls fail: a change that discovery could not tell binds 6 s after it could, so calls begin no further apart than
 // leaves the next one its time within that, whatever became of those before.
-func (v *Vigil) plan(now time.Time) {
-	if !v.by.IsZero() && !v.by.After(now) {
-		v.next = now
+func (w *Watch) plan(now time.Time) {
+	if !w.by.IsZero() && !w.by.After(now) {
+		w.next = now
 		return
 	}
 	left := time.Duration(0)
-	if !v.by.IsZero() {
-		left = v.by.Sub(now)
+	if !w.by.IsZero() {
+		left = w.by.Sub(now)
 	}
-	v.next = now.Add(v.waits.Next(left))
+	w.next = now.Add(w.waits.Next(left))
 }
 
 // Wake is when Tick has to be called next at the latest; zero: not before something happens.
-func (v *Vigil) Wake() time.Time {
-	if !v.next.IsZero() {
-		return v.next
+func (w *Watch) Wake() time.Time {
+	if !w.next.IsZero() {
+		return w.next
 	}
-	if c := v.latest(); c != nil {
-		return v.patience(c)
+	if c := w.latest(); c != nil {
+		return w.patience(c)
 	}
 	return time.Time{}
 }
 
 // latest is the call that the watch rests on, or nil.
-func (v *Vigil) latest() *call {
-	if n := len(v.calls); n > 0 && !v.calls[n-1].former {
-		return &v.calls[n-1]
+func (w *Watch) latest() *call {
+	if n := len(w.calls); n > 0 && !w.calls[n-1].former {
+		return &w.calls[n-1]
 	}
 	return nil
 }
 
-func (v *Vigil) patience(c *call) time.Time {
+func (w *Watch) patience(c *call) time.Time {
 	if c.spoke {
-		return v.heard.Add(Silence)
+		return w.heard.Add(Silence)
 	}
 	return c.begun.Add(CallLimit)
 }
 
 // Tick looks at the time and returns what to do, as do the other methods.
-func (v *Vigil) Tick(now time.Time) []Action {
-	if c := v.latest(); c != nil && !c.doubt && !now.Before(v.patience(c)) {
+func (w *Watch) Tick(now time.Time) []Action {
+	if c := w.latest(); c != nil && !c.doubt && !now.Before(w.patience(c)) {
 		c.doubt = true
-		v.plan(now)
+		w.plan(now)
 	}
-	if !v.next.IsZero() && !now.Before(v.next) {
-		v.next = time.Time{}
-		v.open(now)
+	if !w.next.IsZero() && !now.Before(w.next) {
+		w.next = time.Time{}
+		w.open(now)
 	}
-	return v.take()
+	return w.take()
 }
 
-func (v *Vigil) open(now time.Time) {
+func (w *Watch) open(now time.Time) {
 	mine := 0
-	for _, c := range v.calls {
+	for _, c := range w.calls {
 		if !c.former {
 			mine++
 		}
 	}
-	for _, c := range v.calls {
+	for _, c := range w.calls {
 		if !c.former && mine >= mostCalls { // the oldest goes; the one behind it goes on listening
-			v.close(c.id)
+			w.close(c.id)
 			mine--
 		}
 	}
-	v.last++
-	v.by = now.Add(binds - CallLimit)
-	v.calls = append(v.calls, call{id: v.last, begun: now})
-	v.todo = append(v.todo, Action{Call: v.last})
+	w.last++
+	w.by = now.Add(binds - CallLimit)
+	w.calls = append(w.calls, call{id: w.last, begun: now})
+	w.todo = append(w.todo, Action{Call: w.last})
 }
 
-func (v *Vigil) close(id int) {
-	v.calls = slices.DeleteFunc(slices.Clone(v.calls), func(c call) bool { return c.id == id })
-	v.todo = append(v.todo, Action{Call: id, Close: true})
+func (w *Watch) close(id int) {
+	w.calls = slices.DeleteFunc(slices.Clone(w.calls), func(c call) bool { return c.id == id })
+	w.todo = append(w.todo, Action{Call: id, Close: true})
 }
 
-func (v *Vigil) take() []Action {
-	todo := v.todo
-	v.todo = nil
+func (w *Watch) take() []Action {
+	todo := w.todo
+	w.todo = nil
 	return todo
 }
 
 // Word tells that a call has brought a whole word. Whichever speaks is the watch, and the others are closed.
-func (v *Vigil) Word(now time.Time, id int) []Action {
-	i := slices.IndexFunc(v.calls, func(c call) bool { return c.id == id })
-	if i < 0 || v.calls[i].former {
+func (w *Watch) Word(now time.Time, id int) []Action {
+	i := slices.IndexFunc(w.calls, func(c call) bool { return c.id == id })
+	if i < 0 || w.calls[i].former {
 		return nil
 	}
-	v.calls[i].spoke, v.calls[i].doubt = true, false
-	v.heard, v.by, v.next = now, now.Add(binds-CallLimit), time.Time{}
-	v.waits.Succeeded()
-	for _, c := range slices.Clone(v.calls) {
+	w.calls[i].spoke, w.calls[i].doubt = true, false
+	w.heard, w.by, w.next = now, now.Add(binds-CallLimit), time.Time{}
+	w.waits.Succeeded()
+	for _, c := range slices.Clone(w.calls) {
 		if c.id != id {
-			v.close(c.id)
+			w.close(c.id)
 		}
 	}
-	return v.take()
+	return w.take()
 }
 
 // Ended tells that a call has ended by itself or could not be made.
-func (v *Vigil) Ended(now time.Time, id int) []Action {
-	c := v.latest()
+func (w *Watch) Ended(now time.Time, id int) []Action {
+	c := w.latest()
 	watch := c != nil && c.id == id && !c.doubt // else another call is planned or under way
-	v.calls = slices.DeleteFunc(v.calls, func(c call) bool { return c.id == id })
+	w.calls = slices.DeleteFunc(w.calls, func(c call) bool { return c.id == id })
 	if watch {
-		if c := v.latest(); c != nil {
+		if c := w.latest(); c != nil {
 			c.doubt = true
 		}
-		v.plan(now)
+		w.plan(now)
 	}
-	return v.take()
+	return w.take()
 }
 
 // Moved tells that the list is to be followed at another address. What the old one tells until the new one has spoken
 // is still taken.
-func (v *Vigil) Moved(now time.Time) []Action {
-	for _, c := range slices.Clone(v.calls) {
+func (w *Watch) Moved(now time.Time) []Action {
+	for _, c := range slices.Clone(w.calls) {
 		if c.former { // of the address before that: moves in a row must not add up
-			v.close(c.id)
+			w.close(c.id)
 		}
 	}
-	for i := range v.calls {
-		v.calls[i].former = true
+	for i := range w.calls {
+		w.calls[i].former = true
 	}
-	v.by = now.Add(moveBinds - CallLimit)
-	v.waits.Succeeded() // the new address has not failed yet
-	v.plan(now)
-	return v.take()
+	w.by = now.Add(moveBinds - CallLimit)
+	w.waits.Succeeded() // the new address has not failed yet
+	w.plan(now)
+	return w.take()
 }
--- a/internal/vigil/vigil_test.go
+++ b/internal/listwatch/listwatch_test.go
@@ -1,4 +1,4 @@
-package vigil_test
+package listwatch_test
 
 import (
 	"math/rand/v2"
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"cloverhook/internal/backoff"
-	"cloverhook/internal/vigil"
+	"cloverhook/internal/listwatch"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -18,17 +18,17 @@
 // agent plays the agent of a broker in virtual time. While it is down it takes calls and says nothing; all that are
 // open have its news the moment it is back. It speaks every 2 s else.
 type agent struct {
-	*vigil.Vigil
+	*listwatch.Watch
 	open   map[int]bool
 	opened []time.Duration // when each call was made
 	most   int             // calls open at once
 }
 
 func newAgent(callers int, seed uint64) *agent {
-	return &agent{Vigil: vigil.New(backoff.New(callers, seed), start), open: map[int]bool{}}
+	return &agent{Watch: listwatch.New(backoff.New(callers, seed), start), open: map[int]bool{}}
 }
 
-func (a *agent) do(at time.Duration, actions []vigil.Action) {
+func (a *agent) do(at time.Duration, actions []listwatch.Action) {
 	for _, x := range actions {
 		if x.Close {
 			delete(a.open, x.Call)
@@ -89,8 +89,8 @@
 					a.do(at, a.Tick(now))
 				}
 			}
-			require.Less(t, a.opened[1]-first+vigil.CallLimit, 6*time.Second)
-			require.GreaterOrEqual(t, a.opened[1]-first, vigil.Silence)
+			require.Less(t, a.opened[1]-first+listwatch.CallLimit, 6*time.Second)
+			require.GreaterOrEqual(t, a.opened[1]-first, listwatch.Silence)
 		}
 	}
 }
@@ -109,7 +109,7 @@
 				a.do(at, a.Tick(now))
 			}
 		}
-		require.Less(t, at-10*time.Second+vigil.CallLimit, 4*time.Second)
+		require.Less(t, at-10*time.Second+listwatch.CallLimit, 4*time.Second)
 		require.Len(t, a.open, 2)
 		a.do(at, a.Word(start.Add(at), old+1))
 		require.Equal(t, map[int]bool{old + 1: true}, a.open)
@@ -130,7 +130,7 @@
 					a.do(at, a.Word(now, id))
 					if id > former {
 						require.Equal(t, map[int]bool{id: true}, a.open)
-						require.Equal(t, now.Add(vigil.Silence), a.Wake())
+						require.Equal(t, now.Add(listwatch.Silence), a.Wake())
 					}
 				}
 			case 1:
@@ -193,14 +193,14 @@
 					case 0:
 						ends[calls+1] = at + 10*time.Millisecond // refused
 					case 1:
-						ends[calls+1] = at + vigil.CallLimit // never came up
+						ends[calls+1] = at + listwatch.CallLimit // never came up
 					} // or stays silent
 				}
 				if last := a.opened[len(a.opened)-1]; last >= up {
 					after = append(after, last-up)
 					break
 				}
-				require.Less(t, at-up, 6*time.Second-vigil.CallLimit, "%d callers, seed %d", callers, seed)
+				require.Less(t, at-up, 6*time.Second-listwatch.CallLimit, "%d callers, seed %d", callers, seed)
 			}
 			made += len(a.opened)
 		}
