--- a/cmd/mothrouter/main.go
+++ b/cmd/mothrouter/main.go
@@ -31,7 +31,7 @@
 	"cloverhook/internal/front"
 	"cloverhook/internal/keeper"
 	"cloverhook/internal/membership"
-	"cloverhook/internal/tally"
+	"cloverhook/internal/metrics"
 	"cloverhook/internal/upstream"
 )
 
@@ -89,7 +89,7 @@
 	defer cancel()
 
 	var core core
-	figures := tally.New(cfg.Classes, func() (g tally.Gauges) {
+	figures := metrics.New(cfg.Classes, func() (g metrics.Gauges) {
 		g.Open, g.Entries, g.Avoided = core.Gauges()
 		return g
 	})
@@ -168,7 +168,7 @@
 	}
 	clients := front.New(front.Options{
 		Classes: cfg.Classes, Shards: cfg.Shards, ConnsMax: cfg.ClientConns, IdleMost: cfg.IdleConns, Buffers: cfg.Buffers, Advice: cfg.Advice(),
-		Tally: figures,
+		Metrics: figures,
 	}, core, log)
 	served := make(chan error, 3)
 	go func() { served <- clients.Serve(listener) }()
@@ -293,7 +293,7 @@
 // steered is the process as operators steer it.
 type steered struct {
 	clients *front.Front
-	figures *tally.Tally
+	figures *metrics.Counters
 }
 
 func (s steered) Takes() bool             { return s.clients.Takes() }
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -77,7 +77,7 @@
 			}
 		case r := <-c.reply:
 			resp := result(r, c.closes)
-			c.f.opt.Tally.Ended(c.held.Class, resp.Status)
+			c.f.opt.Metrics.Ended(c.held.Class, resp.Status)
 			ok := c.write(resp)
 			c.held = nil
 			if !ok {
@@ -242,7 +242,7 @@
 		r, err := c.request(req, index)
 		if err == nil && refuses {
 			resp.Status, resp.RetryAfter, resp.Body = 503, c.f.opt.Advice, problem{"refused: this broker is being drained"}
-			c.f.opt.Tally.Ended(index, resp.Status)
+			c.f.opt.Metrics.Ended(index, resp.Status)
 			break
 		}
 		if err == nil {
@@ -255,7 +255,7 @@
 			resp.Status = e.Status
 		}
 		resp.Body = problem{err.Error()}
-		c.f.opt.Tally.Ended(index, resp.Status)
+		c.f.opt.Metrics.Ended(index, resp.Status)
 	}
 	return c.write(resp)
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -12,7 +12,7 @@
 
 	"cloverhook/internal/broker"
 	"cloverhook/internal/drain"
-	"cloverhook/internal/tally"
+	"cloverhook/internal/metrics"
 )
 
 const (
@@ -41,13 +41,13 @@
 
 // Options are what the deployment fixes.
 type Options struct {
-	Classes  map[string]int // class by name
-	Shards   int            // 0: not told
-	ConnsMax int            // client connections held at most
-	IdleMost int            // of them between requests at most; 0: no bound
-	Buffers  int            // bytes of requests held at most, beside a few KiB for each connection
-	Advice   float64        // seconds after which a client that finds no room should come back; 0: not said
-	Tally    *tally.Tally   // counts requests by how they ended; nil: nobody does
+	Classes  map[string]int    // class by name
+	Shards   int               // 0: not told
+	ConnsMax int               // client connections held at most
+	IdleMost int               // of them between requests at most; 0: no bound
+	Buffers  int               // bytes of requests held at most, beside a few KiB for each connection
+	Advice   float64           // seconds after which a client that finds no room should come back; 0: not said
+	Metrics  *metrics.Counters // counts requests by how they ended; nil: nobody does
 }
 
 // Front serves client connections.
--- a/internal/tally/tally.go
+++ b/internal/metrics/metrics.go
@@ -1,6 +1,6 @@
-// Package tally counts what a process has done and writes it in the form in which operators fetch it. Counters are
+// Package metrics counts what a process has done and writes it in the form in which operators fetch it. Counters are
 // atomics: they are read whatever the load, without asking a loop that may be busy.
-package tally
+package metrics
 
 import (
 	"sort"
@@ -18,16 +18,16 @@
 	Avoided int // of them those that get no work now: they drain, or fail each time
 }
 
-// Tally is a process's counts. Make it with New.
-type Tally struct {
+// Counters is a process's counts. Make it with New.
+type Counters struct {
 	names   []string // by class
 	classes []Class
 	gauges  func() Gauges
 }
 
 // New returns counts of 0 for the classes, and asks gauges for what holds.
-func New(classes map[string]int, gauges func() Gauges) *Tally {
-	t := &Tally{names: make([]string, len(classes)), classes: make([]Class, len(classes)), gauges: gauges}
+func New(classes map[string]int, gauges func() Gauges) *Counters {
+	t := &Counters{names: make([]string, len(classes)), classes: make([]Class, len(classes)), gauges: gauges}
 	for name, i := range classes {
 		t.names[i] = name
 	}
@@ -35,7 +35,7 @@
 }
 
 // Ended counts a request by the status that its client was answered with.
-func (t *Tally) Ended(class, status int) {
+func (t *Counters) Ended(class, status int) {
 	if t == nil || class < 0 || class >= len(t.classes) {
 		return
 	}
@@ -50,14 +50,14 @@
 }
 
 // Relayed counts an attempt that was written whole.
-func (t *Tally) Relayed(class int) {
+func (t *Counters) Relayed(class int) {
 	if t != nil && class >= 0 && class < len(t.classes) {
 		t.classes[class].Relayed.Add(1)
 	}
 }
 
 // Append writes all figures, a line each, behind b.
-func (t *Tally) Append(b []byte) []byte {
+func (t *Counters) Append(b []byte) []byte {
 	line := func(name string, v uint64, kind byte) {
 		b = append(append(b, "svc."...), name...)
 		b = append(strconv.AppendUint(append(b, ':'), v, 10), '|', kind, '\n')
--- a/internal/tally/tally_test.go
+++ b/internal/metrics/metrics_test.go
@@ -1,21 +1,21 @@
-package tally_test
+package metrics_test
 
 import (
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
-	"cloverhook/internal/tally"
+	"cloverhook/internal/metrics"
 )
 
 func TestFigures(t *testing.T) {
-	c := tally.New(map[string]int{"b": 0, "a": 1}, func() tally.Gauges { return tally.Gauges{Open: 3, Entries: 12, Avoided: 1} })
+	c := metrics.New(map[string]int{"b": 0, "a": 1}, func() metrics.Gauges { return metrics.Gauges{Open: 3, Entries: 12, Avoided: 1} })
 	for _, status := range []int{200, 200, 503, 429, 500, 504, 400} {
 		c.Ended(1, status)
 	}
 	c.Relayed(0)
 	c.Ended(7, 200) // of no class
-	(*tally.Tally)(nil).Ended(0, 200)
+	(*metrics.Counters)(nil).Ended(0, 200)
 	require.Equal(t, `svc.operations.a.fulfilled:2|c
 svc.operations.a.throttled:2|c
 svc.operations.a.faulted:3|c
