Call the driver of learned state checkpoint, and the module's peers brokers

Package keeper is checkpoint, its type Saver; Settings.Mixers and Fleet.Mixers are Brokers, as all else calls them.

--- a/api.go
+++ b/api.go
@@ -1,4 +1,4 @@
-// Package cloverhook decides for an aggregator (a mixer): a client that splits each query over many
+// Package cloverhook decides for a query broker (an aggregator): a client that splits each query over many
 // shards and reads every shard from one of its replicas. It chooses the replica of each part, the
 // time-outs, further attempts and second copies, judges health, admits or refuses queries and says
 // when to answer. It does no I/O and keeps no clock: the caller hands in the time and a batch of
@@ -48,8 +48,8 @@
 type Settings struct {
 	Classes []Class
 
-	Mixers int // how many there are
-	Zone   int // this mixer's zone
+	Brokers int // how many there are
+	Zone    int // this broker's zone
 
 	Cells       int // number of cells
 	Reach       int // shard s is held by cells s, s+1 ... s+Reach-1, modulo Cells
@@ -190,12 +190,12 @@
 		Load    Load
 	}
 	// Heard is hearsay of a server: what another loop of the same process saw of it, or the process before this
-	// one. News of the mixer's own that is not older wins over it.
+	// one. News of the broker's own that is not older wins over it.
 	Heard struct {
 		Server string
 		At     float64 // when it was so
 		Failed float64 // share of failed attempts, 0 to 1
-		Weight float64 // how far the mixer's own mark moves there, 0 to 1
+		Weight float64 // how far the broker's own mark moves there, 0 to 1
 		Pace   float64 // latency of a part there; 0: not told
 		Load   Load
 		LoadAt float64 // when the report came; 0: At
@@ -203,20 +203,20 @@
 	// Remembered is what the process before this one knew of the fleet. It counts while this one has seen nothing.
 	Remembered struct {
 		Pace float64 // latency of a part
-		Peak float64 // parts that a warm server answers this mixer a second
+		Peak float64 // parts that a warm server answers this broker a second
 	}
-	// Room tells how many more parts may go to a cold server until a time. A mixer that hears so of a server
+	// Room tells how many more parts may go to a cold server until a time. A broker that hears so of a server
 	// holds a share of a common budget and guesses none of its own.
 	Room struct {
 		Server string
 		Parts  int
 		Until  float64
 	}
-	// Fleet tells how many mixers share what is common to all, where they know of each other.
-	Fleet struct{ Mixers int }
+	// Fleet tells how many brokers share what is common to all, where they know of each other.
+	Fleet struct{ Brokers int }
 	// Timer is a timer that fell due.
 	Timer struct{ Token uint64 }
-	// PeerMessage is a message from another mixer.
+	// PeerMessage is a message from another broker.
 	PeerMessage struct {
 		From int
 		Data []byte
@@ -275,7 +275,7 @@
 	Watch struct{ On bool }
 	// Fetch asks for the whole list once.
 	Fetch struct{}
-	// Log adds a line to the mixer's report.
+	// Log adds a line to the broker's report.
 	Log struct{ Line string }
 )
 
@@ -290,7 +290,7 @@
 func (Fetch) action()    {}
 func (Log) action()      {}
 
-// Decider is what a mixer runs. Policy is ours; a caller may put another in its place.
+// Decider is what a broker runs. Policy is ours; a caller may put another in its place.
 type Decider interface {
 	// Handle takes the events of one moment in their order and returns what to do, in order.
 	Handle(now float64, events []Event) []Action
--- a/cmd/mothrouter/main.go
+++ b/cmd/mothrouter/main.go
@@ -21,6 +21,7 @@
 	"cloverhook/internal/assembly"
 	"cloverhook/internal/backoff"
 	"cloverhook/internal/broker"
+	"cloverhook/internal/checkpoint"
 	"cloverhook/internal/config"
 	"cloverhook/internal/control"
 	"cloverhook/internal/cores"
@@ -29,7 +30,6 @@
 	"cloverhook/internal/fleet"
 	"cloverhook/internal/flight"
 	"cloverhook/internal/front"
-	"cloverhook/internal/keeper"
 	"cloverhook/internal/membership"
 	"cloverhook/internal/metrics"
 	"cloverhook/internal/upstream"
@@ -114,14 +114,14 @@
 		if err != nil {
 			return err
 		}
-		keep := keeper.Open(keeper.Options{Folder: state.Folder, Interval: state.Interval, Instance: cfg.Name,
+		keep := checkpoint.Open(checkpoint.Options{Folder: state.Folder, Interval: state.Interval, Instance: cfg.Name,
 			Settings: cfg.Fingerprint(), Seed: cfg.Seed, Log: log})
 		parts.Add(assembly.Part{Name: "state", Run: keep.Run,
 			Wrap: func(_ int, inner cloverhook.Decider) cloverhook.Decider { return keep.Watch(inner) }})
 	}
-	callers, told := backoff.Callers(cfg.Settings.Mixers)
+	callers, told := backoff.Callers(cfg.Settings.Brokers)
 	if !told {
-		log.Warn("settings.peersTotal: no size that a fleet can have", "is", cfg.Settings.Mixers, "taken for", callers)
+		log.Warn("settings.peersTotal: no size that a fleet can have", "is", cfg.Settings.Brokers, "taken for", callers)
 	}
 	waits := backoff.New(callers, cfg.Seed)
 	if files.fleet != "" {
@@ -131,7 +131,7 @@
 		}
 		others, err := join(peers, cfg, log, func(n int) {
 			waits.Resize(n)
-			core.Tell(cloverhook.Fleet{Mixers: n})
+			core.Tell(cloverhook.Fleet{Brokers: n})
 		})
 		if err != nil {
 			return err
@@ -248,7 +248,7 @@
 	return fleet.Listen(fleet.Options{
 		Listen: peers.Listen, Advertise: peers.Advertise, Fleet: peers.Fleet, Name: peers.Name, Seeds: peers.Seeds,
 		Seed: cfg.Seed, Log: log, Changed: func(c membership.Count) {
-			n := max(c.Sharing, cfg.Settings.Mixers)
+			n := max(c.Sharing, cfg.Settings.Brokers)
 			if c.Fenced {
 				n = backoff.MostCallers
 			}
--- a/cmd/mothrouter/state.go
+++ b/cmd/mothrouter/state.go
@@ -11,7 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"cloverhook"
-	"cloverhook/internal/keeper"
+	"cloverhook/internal/checkpoint"
 	"cloverhook/internal/recovery"
 	"cloverhook/internal/snapshot"
 )
@@ -66,7 +66,7 @@
 	}, &cobra.Command{
 		Use: "delete FOLDER", Short: "Delete the file, and one that was set aside: the next start is blank", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			for _, name := range []string{keeper.FileName, keeper.AsideName} {
+			for _, name := range []string{checkpoint.FileName, checkpoint.AsideName} {
 				err := os.Remove(filepath.Join(args[0], name))
 				if err == nil {
 					fmt.Fprintln(c.OutOrStdout(), "deleted", name)
@@ -81,7 +81,7 @@
 }
 
 func readState(folder string) (*snapshot.Snapshot, int, error) {
-	b, err := keeper.Disk{}.Read(filepath.Join(folder, keeper.FileName))
+	b, err := checkpoint.Disk{}.Read(filepath.Join(folder, checkpoint.FileName))
 	if err != nil {
 		return nil, 0, err
 	}
--- a/cold_test.go
+++ b/cold_test.go
@@ -15,11 +15,11 @@
 	"cloverhook"
 )
 
-// due is an answer on its way to a mixer.
+// due is an answer on its way to a broker.
 type due struct {
-	at    float64
-	mixer *cloverhook.Policy
-	ended cloverhook.Ended
+	at     float64
+	broker *cloverhook.Policy
+	ended  cloverhook.Ended
 }
 
 type dues []due
@@ -36,23 +36,23 @@
 }
 
 // coldDay is a fleet of brokers and servers on virtual time. At 12 s servers start anew
-// and every mixer is told.
+// and every broker is told.
 type coldDay struct {
-	mixers, servers int
-	load            float64 // share of what the servers bear
-	burst           float64 // traffic from then on, over that before
-	blank           float64 // share of the mixers that are killed then, and back with nothing but their list
-	alone           bool    // no other server holds the shards of the one that starts
-	replaced        float64 // share of the servers that start anew within 7 s; 0: one does
-	rolling         bool    // a tenth of the mixers after the other restart from then on: for a second two processes serve
-	capacity        float64 // parts a second that a server bears; 0: 50
+	brokers, servers int
+	load             float64 // share of what the servers bear
+	burst            float64 // traffic from then on, over that before
+	blank            float64 // share of the brokers that are killed then, and back with nothing but their list
+	alone            bool    // no other server holds the shards of the one that starts
+	replaced         float64 // share of the servers that start anew within 7 s; 0: one does
+	rolling          bool    // a tenth of the brokers after the other restart from then on: for a second two processes serve
+	capacity         float64 // parts a second that a server bears; 0: 50
 }
 
 const coldStart = 12.0
 
 func (d coldDay) settings() cloverhook.Settings {
 	return cloverhook.Settings{
-		Classes: []cloverhook.Class{{Aim: 1.5, Deadline: 4, Need: 1, Floor: 1, Worth: 1}}, Mixers: d.mixers,
+		Classes: []cloverhook.Class{{Aim: 1.5, Deadline: 4, Need: 1, Floor: 1, Worth: 1}}, Brokers: d.brokers,
 		Cells: d.servers, Reach: 2, BatchMax: 1, MaxAttempts: 4, Tick: 0.001, MayCancel: true, RetryAfter: true, MaxWait: 0.5,
 		ReportMode: cloverhook.ReportPiggyback, ColdShare: 0.2, WarmUp: 17, FallMultiple: 2.5, FallTime: 1.5,
 	}
@@ -68,7 +68,7 @@
 	for i := range d.servers {
 		list = append(list, cloverhook.Server{ID: fmt.Sprint("s", i), Cell: i})
 	}
-	fleet := make([][]*cloverhook.Policy, d.mixers) // of each, its processes
+	fleet := make([][]*cloverhook.Policy, d.brokers) // of each, its processes
 	blank := func(now float64) *cloverhook.Policy {
 		p := cloverhook.New(set, rng.Uint64())
 		p.Handle(now, []cloverhook.Event{cloverhook.List{Mode: cloverhook.ListFull, Servers: list}})
@@ -131,7 +131,7 @@
 		todo = append(todo, step{coldStart + 7*float64(n)/float64(starts), start(n)})
 	}
 	for tenth := 0; d.rolling && tenth < 10; tenth++ {
-		from, to := tenth*d.mixers/10, (tenth+1)*d.mixers/10
+		from, to := tenth*d.brokers/10, (tenth+1)*d.brokers/10
 		at := coldStart - 1 + 0.5*float64(tenth)
 		todo = append(todo, step{at, func(now float64) {
 			for i := from; i < to; i++ {
@@ -152,9 +152,9 @@
 		}
 		for len(out) > 0 && out[0].at <= next {
 			x := heap.Pop(&out).(due)
-			do(x.at, x.mixer, x.mixer.Handle(x.at, []cloverhook.Event{x.ended}))
+			do(x.at, x.broker, x.broker.Handle(x.at, []cloverhook.Event{x.ended}))
 		}
-		m, n := rng.IntN(d.mixers), 1+rng.IntN(5)
+		m, n := rng.IntN(d.brokers), 1+rng.IntN(5)
 		id += 100
 		ev := []cloverhook.Event{cloverhook.Query{ID: id, Number: int64(id), Parts: n, Deadline: next + 4}}
 		first := rng.IntN(d.servers)
@@ -189,9 +189,9 @@
 // A cold server bears only so much from all brokers together, whether they are two, which see much of it, or hundreds
 // that see little each; and whoever is killed or replaced meanwhile.
 func TestAFleetDoesNotPushAColdServerOver(t *testing.T) {
-	for _, mixers := range []int{2, 5, 20, 30, 300} {
+	for _, brokers := range []int{2, 5, 20, 30, 300} {
 		servers := 12
-		if mixers == 300 {
+		if brokers == 300 {
 			servers = 40
 		}
 		for name, d := range map[string]coldDay{
@@ -204,8 +204,8 @@
 			"a rolling restart and release": {load: 0.6, burst: 1.5, rolling: true, replaced: 0.5},
 			"a rolling restart, alone":      {load: 0.6, burst: 1.5, rolling: true, alone: true},
 		} {
-			d.mixers, d.servers = mixers, servers
-			t.Run(fmt.Sprint(mixers, " brokers, ", name), func(t *testing.T) {
+			d.brokers, d.servers = brokers, servers
+			t.Run(fmt.Sprint(brokers, " brokers, ", name), func(t *testing.T) {
 				most, worst := 0.0, 0.0
 				for seed := range uint64(*coldSeeds) {
 					share, beyond := d.play(seed)
--- a/example_test.go
+++ b/example_test.go
@@ -6,11 +6,11 @@
 	"cloverhook"
 )
 
-// A mixer hands in events with their time and carries out the actions.
+// A broker hands in events with their time and carries out the actions.
 func Example() {
 	settings := cloverhook.Settings{
 		Classes: []cloverhook.Class{{Aim: 1, Deadline: 2, Need: 1, Floor: 1}},
-		Mixers:  1, Cells: 1, Reach: 1, BatchMax: 1, MaxAttempts: 3, Tick: 0.005,
+		Brokers: 1, Cells: 1, Reach: 1, BatchMax: 1, MaxAttempts: 3, Tick: 0.005,
 	}
 	p := cloverhook.New(settings, 1)
 	p.Handle(0, []cloverhook.Event{
--- a/failures_test.go
+++ b/failures_test.go
@@ -205,7 +205,7 @@
 	}
 }
 
-// A mixer of many sees little of each server: one long answer must tell, and be forgotten again.
+// A broker of many sees little of each server: one long answer must tell, and be forgotten again.
 func TestSlowServerLosesWeightForAWhile(t *testing.T) {
 	r := newRig(t, settings(), servers(3)...)
 	slow := 1.0
@@ -267,21 +267,21 @@
 	}
 }
 
-// Ninety mixers with a part each for a cold server: together they must stay under what makes it fall over,
+// Ninety brokers with a part each for a cold server: together they must stay under what makes it fall over,
 // and still use it.
-func TestManyMixersShareAColdServersRoom(t *testing.T) {
-	const mixers, warmRate = 90, 12 // warmRate: parts a second that each warm server answers, to all mixers
+func TestManyBrokersShareAColdServersRoom(t *testing.T) {
+	const brokers, warmRate = 90, 12 // warmRate: parts a second that each warm server answers, to all brokers
 	s := settings()
-	s.Mixers, s.Cells = mixers, 2
+	s.Brokers, s.Cells = brokers, 2
 	toCold, windows := 0, 4
-	for m := range mixers {
+	for m := range brokers {
 		r := newRig(t, s, servers(4)...)
 		r.p = cloverhook.New(s, uint64(m))
 		r.handle(cloverhook.List{Mode: cloverhook.ListFull, Servers: servers(4)})
-		for range 60 { // this mixer's share of what four servers answer
+		for range 60 { // this broker's share of what four servers answer
 			_, ev := r.query(0, 1)
 			for _, snd := range sends(r.handle(ev...)) {
-				r.at(r.now+mixers/4.0/warmRate, ended(snd.ID, 0, snd.Server, cloverhook.OK, 0.02))
+				r.at(r.now+brokers/4.0/warmRate, ended(snd.ID, 0, snd.Server, cloverhook.OK, 0.02))
 			}
 		}
 		r.handle(cloverhook.List{Servers: []cloverhook.Server{{ID: "s0", Cell: 1, Started: r.now}}})
@@ -476,7 +476,7 @@
 	return list
 }
 
-// A zone is cut off from this mixer: its servers that were not met yet are avoided too, though half of the fleet
+// A zone is cut off from this broker: its servers that were not met yet are avoided too, though half of the fleet
 // fails and the median server with it.
 func TestServersOfAFailingZoneAreAvoided(t *testing.T) {
 	s := settings()
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -10,10 +10,10 @@
 	"cloverhook"
 )
 
-// fleetRig is a mixer of many that knows 200 servers, each shard held by two, and the wide class of the site.
+// fleetRig is a broker of many that knows 200 servers, each shard held by two, and the wide class of the site.
 func fleetRig(t testing.TB, n int) (*cloverhook.Policy, func(now float64, parts int) []cloverhook.Event) {
 	s := settings()
-	s.Mixers, s.Cells, s.Reach, s.ReportMode = 300, n, 2, cloverhook.ReportPiggyback
+	s.Brokers, s.Cells, s.Reach, s.ReportMode = 300, n, 2, cloverhook.ReportPiggyback
 	s.Classes = []cloverhook.Class{{Aim: 0.5, Deadline: 2, Need: 1, Floor: 0.8, Worth: 1}}
 	var list []cloverhook.Server
 	for i := range n {
@@ -115,7 +115,7 @@
 	}
 }
 
-// A mixer of hundreds meets each server every few seconds: at a wide query's arrival it cannot know that the fleet is
+// A broker of hundreds meets each server every few seconds: at a wide query's arrival it cannot know that the fleet is
 // full. When all sent their wide queries whole, each made the others late. A few parts go ahead and tell.
 func TestAWideQuerySendsItsOtherPartsOnceThoseAheadAreBack(t *testing.T) {
 	const n = 200
@@ -153,13 +153,13 @@
 	p, query = fleetRig(t, n)
 	require.Len(t, sends(p.Handle(101, query(101, 31))), 31, "a narrow query goes as a whole")
 	p, query = fleetRig(t, 40)
-	for now := 101.; now < 106; now += 0.03 { // this mixer hears of each server all the time
+	for now := 101.; now < 106; now += 0.03 { // this broker hears of each server all the time
 		served(now+0.02, p, sends(p.Handle(now, query(now, 31))))
 	}
-	require.Len(t, sends(p.Handle(107, query(107, 40))), 40, "a mixer that sees enough needs no scouts")
+	require.Len(t, sends(p.Handle(107, query(107, 40))), 40, "a broker that sees enough needs no scouts")
 }
 
-// What is in at the aim is answered, if that is enough. A mixer with a small share of a core needs a while for a
+// What is in at the aim is answered, if that is enough. A broker with a small share of a core needs a while for a
 // request of 200 parts, and as long for its answer, which came some milliseconds after the aim.
 func TestAnAnswerLeavesAsEarlyAsItsRequestTookToComeIn(t *testing.T) {
 	for _, lag := range []float64{0, 0.02} {
--- a/helpers_test.go
+++ b/helpers_test.go
@@ -21,7 +21,7 @@
 func settings() cloverhook.Settings {
 	return cloverhook.Settings{
 		Classes: []cloverhook.Class{{Aim: 1, Deadline: 2, Need: 1, Floor: 1}},
-		Mixers:  1, Cells: 1, Reach: 1, BatchMax: 1, MaxAttempts: 3, Tick: 0.005, MayCancel: true,
+		Brokers: 1, Cells: 1, Reach: 1, BatchMax: 1, MaxAttempts: 3, Tick: 0.005, MayCancel: true,
 		ColdShare: 0.25, WarmUp: 10, FallMultiple: 2, FallTime: 1,
 	}
 }
--- a/internal/keeper/keeper.go
+++ b/internal/checkpoint/checkpoint.go
@@ -1,6 +1,6 @@
-// Package keeper saves what a broker has learned to a folder and reads it after a restart: the driver beside
+// Package checkpoint saves what a broker has learned to a folder and reads it after a restart: the driver beside
 // packages snapshot (the file) and recovery (what it is worth). It works beside the loop and never has it wait.
-package keeper
+package checkpoint
 
 import (
 	"context"
@@ -32,7 +32,7 @@
 	jitter = 0.25 // of the interval, either way: brokers that started together do not save together
 )
 
-// Files is what the keeper does with files. Tests put faults in its place.
+// Files is what the saver does with files. Tests put faults in its place.
 type Files interface {
 	Read(path string) ([]byte, error)
 	// Replace puts a file in the place of another, whole or not at all, and returns once it lasts.
@@ -72,8 +72,8 @@
 	Log      *slog.Logger
 }
 
-// Keeper keeps one broker's learned state. Make it with Open.
-type Keeper struct {
+// Saver keeps one broker's learned state. Make it with Open.
+type Saver struct {
 	opt Options
 	rng *rand.Rand
 	now func() float64
@@ -89,11 +89,11 @@
 
 // Open takes the folder and reads what it holds. It never fails: without a folder or file of use the start is blank,
 // and one log line says why.
-func Open(opt Options) *Keeper {
+func Open(opt Options) *Saver {
 	if opt.Files == nil {
 		opt.Files = Disk{}
 	}
-	k := &Keeper{opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, 0x510e527fade682d1)), learner: recovery.NewLearner(),
+	k := &Saver{opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, 0x510e527fade682d1)), learner: recovery.NewLearner(),
 		now: func() float64 { return float64(time.Now().UnixNano()) / 1e9 }}
 	k.saving.Lock()
 	defer k.saving.Unlock()
@@ -129,7 +129,7 @@
 }
 
 // sweep removes what writers that were killed have left half written: else they would fill the folder in time.
-func (k *Keeper) sweep() {
+func (k *Saver) sweep() {
 	left, _ := filepath.Glob(filepath.Join(k.opt.Folder, "."+FileName+"*"))
 	for _, path := range left {
 		os.Remove(path)
@@ -138,7 +138,7 @@
 
 // locked tells whether this process is the folder's writer, and tries to become it. A process that takes over from
 // another reads at once and writes once the other has ended. The caller holds saving.
-func (k *Keeper) locked() bool {
+func (k *Saver) locked() bool {
 	path := filepath.Join(k.opt.Folder, lockName)
 	if k.lock != nil {
 		held, err1 := k.lock.Stat()
@@ -164,7 +164,7 @@
 }
 
 // tell logs a trouble once, until another comes or it is over. The caller holds saving.
-func (k *Keeper) tell(what string, err error) {
+func (k *Saver) tell(what string, err error) {
 	if k.silent != what {
 		k.silent = what
 		k.opt.Log.Warn(what, "err", err, "folder", k.opt.Folder)
@@ -172,7 +172,7 @@
 }
 
 // Save writes what is known now.
-func (k *Keeper) Save() error {
+func (k *Saver) Save() error {
 	k.mu.Lock()
 	s := k.learner.Snapshot(k.now())
 	k.mu.Unlock()
@@ -198,7 +198,7 @@
 }
 
 // Run saves at intervals until ctx ends, and once more then.
-func (k *Keeper) Run(ctx context.Context) {
+func (k *Saver) Run(ctx context.Context) {
 	for {
 		span := float64(k.opt.Interval) * (1 - jitter + 2*jitter*k.rng.Float64())
 		t := time.NewTimer(time.Duration(span))
@@ -220,10 +220,10 @@
 }
 
 // Watch wraps a Decider: what it sees is learned, and what the process before knew is told to it with its first list.
-func (k *Keeper) Watch(d cloverhook.Decider) cloverhook.Decider { return &watch{k: k, inner: d} }
+func (k *Saver) Watch(d cloverhook.Decider) cloverhook.Decider { return &watch{k: k, inner: d} }
 
 type watch struct {
-	k     *Keeper
+	k     *Saver
 	inner cloverhook.Decider
 	told  bool
 }
@@ -234,7 +234,7 @@
 }
 
 // see learns of the events, and adds what was remembered to the first list.
-func (k *Keeper) see(now float64, events []cloverhook.Event, told *bool) []cloverhook.Event {
+func (k *Saver) see(now float64, events []cloverhook.Event, told *bool) []cloverhook.Event {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, e := range events {
--- a/internal/keeper/keeper_test.go
+++ b/internal/checkpoint/checkpoint_test.go
@@ -1,4 +1,4 @@
-package keeper
+package checkpoint
 
 import (
 	"bytes"
@@ -34,8 +34,8 @@
 	os.Exit(m.Run())
 }
 
-// teach has a keeper learn of so many servers.
-func teach(k *Keeper, servers int) {
+// teach has a saver learn of so many servers.
+func teach(k *Saver, servers int) {
 	w := k.Watch(deaf{})
 	now := float64(time.Now().UnixNano()) / 1e9
 	l := cloverhook.List{Mode: cloverhook.ListFull}
@@ -70,7 +70,7 @@
 	return strings.Count(t.b.String(), s)
 }
 
-func open(folder string, files Files) (*Keeper, *text) {
+func open(folder string, files Files) (*Saver, *text) {
 	var out text
 	return Open(Options{Folder: folder, Interval: 20 * time.Millisecond, Instance: "n1", Settings: 7, Files: files,
 		Log: slog.New(slog.NewTextHandler(&out, nil))}), &out
--- a/internal/keeper/restart_test.go
+++ b/internal/checkpoint/restart_test.go
@@ -1,4 +1,4 @@
-package keeper
+package checkpoint
 
 import (
 	"context"
@@ -32,7 +32,7 @@
 )
 
 var restartSettings = cloverhook.Settings{
-	Cells: restartServers, Reach: 2, MaxAttempts: 4, MayCancel: true, Mixers: 2, ReportMode: cloverhook.ReportPiggyback,
+	Cells: restartServers, Reach: 2, MaxAttempts: 4, MayCancel: true, Brokers: 2, ReportMode: cloverhook.ReportPiggyback,
 	Tick: 0.005, ColdShare: 0.2, WarmUp: 8, FallMultiple: 2.5, FallTime: 1.5,
 	Classes: []cloverhook.Class{{Aim: restartAim, Deadline: 0.4, Worth: 1, Need: 1, Floor: 1},
 		{Aim: restartAim, Deadline: 0.4, Worth: 2, Need: 1, Floor: 1, Repeat: cloverhook.RepeatUnsafe}},
@@ -43,7 +43,7 @@
 func (r reply) Finish(res broker.Result) { r <- res }
 
 // life runs one broker on a fleet for a time under a steady load, and tells for each 100 ms what share was served.
-func life(fleet *standin.Fleet, k *Keeper, seed uint64, d time.Duration) []float64 {
+func life(fleet *standin.Fleet, k *Saver, seed uint64, d time.Duration) []float64 {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	link := upstream.New(ctx, upstream.Options{Streams: 100, Idle: 15 * time.Second, ConnectTimeout: 250 * time.Millisecond})
@@ -144,7 +144,7 @@
 }
 
 // TestARestoredBrokerServesSooner plays restarts, blank and restored in turns. In CI it plays one, and checks only
-// what is clear; `go test ./internal/keeper -run Sooner -v -measure 8` prints the tables of docs/recovery.md.
+// what is clear; `go test ./internal/checkpoint -run Sooner -v -measure 8` prints the tables of docs/recovery.md.
 func TestARestoredBrokerServesSooner(t *testing.T) {
 	if *measureSeeds == 0 {
 		blank, restored := play(t, 1, false, false), play(t, 1, true, false)
--- a/internal/cores/cores.go
+++ b/internal/cores/cores.go
@@ -195,7 +195,7 @@
 // Tell hands each worker's Decider an event of a part that runs beside them.
 func (g *Group) Tell(e cloverhook.Event) {
 	if f, ok := e.(cloverhook.Fleet); ok {
-		g.share.resize(f.Mixers)
+		g.share.resize(f.Brokers)
 	}
 	for _, w := range g.workers {
 		if !w.dead.Load() {
--- a/internal/cores/cores_test.go
+++ b/internal/cores/cores_test.go
@@ -43,7 +43,7 @@
 
 func settings(servers int, warmUp float64) cloverhook.Settings {
 	return cloverhook.Settings{
-		Cells: servers, Reach: 2, MaxAttempts: 4, MayCancel: true, RetryAfter: true, MaxWait: 0.5, Mixers: 1,
+		Cells: servers, Reach: 2, MaxAttempts: 4, MayCancel: true, RetryAfter: true, MaxWait: 0.5, Brokers: 1,
 		ReportMode: cloverhook.ReportPiggyback, Tick: 0.005,
 		ColdShare: 0.2, WarmUp: warmUp, FallMultiple: 2.5, FallTime: 1.5,
 		Classes: []cloverhook.Class{
--- a/internal/cores/share.go
+++ b/internal/cores/share.go
@@ -47,7 +47,7 @@
 func newShare(workers int, set cloverhook.Settings, seed uint64) *share {
 	l := lease.Limits{
 		ColdShare: set.ColdShare, WarmUp: set.WarmUp, FallMultiple: set.FallMultiple, FallTime: set.FallTime,
-		Brokers: set.Mixers,
+		Brokers: set.Brokers,
 	}
 	return &share{
 		workers: workers, board: evidence.NewBoard(workers), limits: l,
--- a/internal/recovery/recovery_test.go
+++ b/internal/recovery/recovery_test.go
@@ -163,7 +163,7 @@
 // A server that was remembered as well or ill: the first news of its own outweighs either.
 func TestFirstNewsOutweighsMemory(t *testing.T) {
 	for _, remembered := range []float64{0.01, 0.3} {
-		set := cloverhook.Settings{Classes: []cloverhook.Class{{Aim: 1, Deadline: 2, Need: 1, Floor: 1}}, Mixers: 1, Cells: 1,
+		set := cloverhook.Settings{Classes: []cloverhook.Class{{Aim: 1, Deadline: 2, Need: 1, Floor: 1}}, Brokers: 1, Cells: 1,
 			Reach: 1, BatchMax: 1, MaxAttempts: 3, Tick: 0.005, MayCancel: true}
 		news := cloverhook.List{Mode: cloverhook.ListFull, Servers: []cloverhook.Server{{ID: "a"}, {ID: "b"}}}
 		l := recovery.NewLearner()
@@ -204,7 +204,7 @@
 // In the middle of a fault of the whole fleet all servers look ill. A broker that remembers so still serves: what all
 // share tells nothing between two holders, and the first answers outweigh it.
 func TestAFleetWideFaultIsNotRememberedForLong(t *testing.T) {
-	set := cloverhook.Settings{Classes: []cloverhook.Class{{Aim: 1, Deadline: 2, Need: 1, Floor: 1}}, Mixers: 1, Cells: 1,
+	set := cloverhook.Settings{Classes: []cloverhook.Class{{Aim: 1, Deadline: 2, Need: 1, Floor: 1}}, Brokers: 1, Cells: 1,
 		Reach: 1, BatchMax: 1, MaxAttempts: 3, Tick: 0.005, MayCancel: true}
 	l := recovery.NewLearner()
 	news := cloverhook.List{Mode: cloverhook.ListFull, Servers: []cloverhook.Server{{ID: "a"}, {ID: "b"}, {ID: "c"}}}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -89,7 +89,7 @@
 		return cloverhook.Settings{}, fmt.Errorf("discovery: cannot read %q", p.Discovery)
 	}
 	s := cloverhook.Settings{
-		Mixers: p.PeersTotal, Zone: p.Zone,
+		Brokers: p.PeersTotal, Zone: p.Zone,
 		Cells: p.Family.Cells, Reach: p.Family.Reach, BatchMax: p.Family.BundleMax,
 		ReportMode: mode, AskForList: p.Discovery == "ask",
 		WorthByWork: p.CountedBy == "work",
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -36,7 +36,7 @@
 			{Aim: 1, Deadline: 2, Worth: 1, Repeat: cloverhook.RepeatUnsafe, Need: 0.8, Floor: 1,
 				SecondStep: 3},
 		},
-		Mixers: 2, Zone: 2,
+		Brokers: 2, Zone: 2,
 		Cells: 4, Reach: 2, BatchMax: 8, ReportMode: cloverhook.ReportPull, AskForList: true,
 		AskWithin: 10, Tick: 0.005, MaxAttempts: 3, MayCancel: true, MayProbe: true, MayCopy: true,
 		RetryAfter: true, MaxWait: 0.5, ColdShare: 0.28, WarmUp: 17, FallMultiple: 3, FallTime: 1,
--- a/policy.go
+++ b/policy.go
@@ -27,7 +27,7 @@
 	holdPoll   = 0.02 // seconds between looks at parts that no server may take yet
 )
 
-// server is what this mixer knows of one server.
+// server is what this broker knows of one server.
 type server struct {
 	Server
 	load            Load
@@ -40,13 +40,13 @@
 	fitness         float64 // 0: unreported at the last rebuild
 	cut             float64 // 1: its latest outcome was a refused or broken connection
 	newsAt          float64 // its latest outcome, or when it was probed to learn whether it is well
-	own             int     // this mixer's attempts out there
+	own             int     // this broker's attempts out there
 	pace, paceAt    float64 // latency over crowd of its latest parts, and when it was so
 
 	sends           []float64 // times of sends within FallTime, for the cold cap
 	coldSince       float64   // start of the warm-up; -Inf: warm
 	luck, luckUntil float64   // how the present window's room is rounded
-	room            *Room     // of a budget shared with other mixers; nil: there is none
+	room            *Room     // of a budget shared with other brokers; nil: there is none
 
 	turn int     // the draw's turn that key belongs to
 	key  float64 // exponential variate / weight in that turn
@@ -59,7 +59,7 @@
 	sentAt       float64
 	live, mayRun bool
 	dropped      bool    // its Cancel is on the way
-	crowd        float64 // this mixer's parts at the server then, this one included
+	crowd        float64 // this broker's parts at the server then, this one included
 }
 
 type part struct {
@@ -87,7 +87,7 @@
 	print       uint64 // hash of its class, shards and weights: a client's repeat has the same
 }
 
-// Policy decides for one mixer. It is not safe for concurrent use.
+// Policy decides for one broker. It is not safe for concurrent use.
 type Policy struct {
 	set     Settings
 	rng     *rand.Rand
@@ -126,7 +126,7 @@
 	peak                   float64       // slowly decaying peak of parts answered a second by a warm server
 }
 
-// New returns the decisions of one mixer. Equal settings, seeds and events give equal actions.
+// New returns the decisions of one broker. Equal settings, seeds and events give equal actions.
 func New(s Settings, seed uint64) *Policy {
 	n, p := len(s.Classes), &Policy{set: s, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		armed: math.Inf(1), meanFitness: 1, byID: map[string]*server{}, breakers: map[uint64]float64{},
@@ -168,7 +168,7 @@
 		case Remembered:
 			p.pace, p.peak = cmp.Or(p.pace, e.Pace), math.Max(p.peak, e.Peak)
 		case Fleet:
-			p.set.Mixers = e.Mixers
+			p.set.Brokers = e.Brokers
 		case Room:
 			if s := p.byID[e.Server]; s != nil {
 				s.room, s.sends = &e, nil
@@ -264,7 +264,7 @@
 	}
 }
 
-// onHeard takes hearsay, unless this mixer's own news is as new.
+// onHeard takes hearsay, unless this broker's own news is as new.
 func (p *Policy) onHeard(e Heard) {
 	s := p.byID[e.Server]
 	if s == nil || e.At < s.Started {
@@ -296,7 +296,7 @@
 	}
 }
 
-// mark counts an outcome for or against a server, its zone and the links of this mixer.
+// mark counts an outcome for or against a server, its zone and the links of this broker.
 func (p *Policy) mark(s *server, status Status) {
 	failed, cut := 1.0, 0.0
 	switch status {
@@ -343,7 +343,7 @@
 	p.wakeAt(min(p.watchAt, p.probeAt, p.rebuildAt))
 }
 
-// queueOf is the reported queue or parts in flight, else this mixer's own parts in flight.
+// queueOf is the reported queue or parts in flight, else this broker's own parts in flight.
 func (s *server) queueOf() float64 {
 	if s.load.Queue >= 0 {
 		return s.load.Queue
@@ -382,7 +382,7 @@
 	return fitness * p.nearness(s) * p.warmth(s) * s.leisure(p.now) * p.trust(s, 0) * p.pulse(s) * p.speed(s)
 }
 
-// leisure falls with this mixer's own parts in flight. What others pile up there is for speed to see.
+// leisure falls with this broker's own parts in flight. What others pile up there is for speed to see.
 func (s *server) leisure(now float64) float64 {
 	return math.Pow(1+float64(s.depth(now)), -crowding)
 }
@@ -495,7 +495,7 @@
 }
 
 // coldRoom tells whether a cold server may get one more part. What warm servers answer bounds their capacity
-// from below, and each mixer keeps to its own share of that.
+// from below, and each broker keeps to its own share of that.
 func (p *Policy) coldRoom(s *server) bool {
 	w := p.warmth(s)
 	if w >= 1 || p.set.FallTime <= 0 {
@@ -504,13 +504,13 @@
 		return len(s.sends) < s.room.Parts && p.now <= s.room.Until
 	}
 	s.sends = slices.DeleteFunc(s.sends, func(t float64) bool { return t < p.now-p.set.FallTime })
-	// Chance rounds this mixer's share, anew in each window: up always would add up over the mixers.
+	// Chance rounds this broker's share, anew in each window: up always would add up over the brokers.
 	if p.now >= s.luckUntil {
 		s.luck, s.luckUntil, p.drawn = p.rng.Float64(), p.now+p.set.FallTime, p.drawn+1
 	}
 	room := coldMargin * p.set.FallMultiple * w * p.set.FallTime * p.peak
-	room = math.Max(room, 1/float64(max(p.set.Mixers, 1))) // a mixer that has seen no answer yet may try
-	// A mixer that rarely has a part for a server leaves most windows unused, and takes more of the others.
+	room = math.Max(room, 1/float64(max(p.set.Brokers, 1))) // a broker that has seen no answer yet may try
+	// A broker that rarely has a part for a server leaves most windows unused, and takes more of the others.
 	room /= math.Min(1, (p.drawn+2)/(p.chances+1))
 	return float64(max(len(s.sends), s.own)+1) <= room+s.luck
 }
@@ -557,7 +557,7 @@
 	}
 	c := &p.set.Classes[e.Class]
 	q := &query{Query: e, class: c, step: 1, arrived: cmp.Or(e.Came, p.now), print: uint64(e.Class + 1)}
-	lead := p.lead() + p.now - q.arrived // the way out takes as long as the way in: this mixer's own work
+	lead := p.lead() + p.now - q.arrived // the way out takes as long as the way in: this broker's own work
 	q.aim = math.Min(q.arrived+c.Aim+c.AimStretch*e.Work, e.Deadline) - lead
 	if q.end = q.aim; c.LateWorth > 0 {
 		q.end = e.Deadline - lead
@@ -761,10 +761,10 @@
 	return alone + (able/share-alone)*all/able
 }
 
-// sound is how far a server does its work, by what this mixer sees.
+// sound is how far a server does its work, by what this broker sees.
 func (p *Policy) sound(s *server) float64 { return p.trust(s, p.fleetBad) * p.pulse(s) }
 
-// depth counts this mixer's parts at a server: those in flight, and those given up that it may still work
+// depth counts this broker's parts at a server: those in flight, and those given up that it may still work
 // through. Queues go in order, so an answer clears all that was sent before it.
 func (s *server) depth(now float64) int {
 	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return now > g.until })
@@ -801,20 +801,20 @@
 	admitStale   = 0.4  // share of the time to the aim that the expected wait may take, where little is seen
 	admitFresh   = 0.4  // and so much more where a server is heard of all the time
 	breakChance  = 0.05 // so unlikely must it be that so many attempts were broken off by chance
-	waryFor      = 30.0 // seconds: at size a mixer meets such a query only once in so long
+	waryFor      = 30.0 // seconds: at size a broker meets such a query only once in so long
 	aheadTime    = 0.25 // of the time to the aim that others wait for the parts ahead
 	aheadLeast   = 8    // parts that go ahead of a wide query,
 	aheadMiss    = 0.3  // of which this share may be missing then
 	wideParts    = 20   // one of so many goes ahead where that is more
 	wideFrom     = 32   // parts of a wide query
-	wideBlind    = 3.0  // seconds in which a pace is half forgotten, from which a mixer sees too little
+	wideBlind    = 3.0  // seconds in which a pace is half forgotten, from which a broker sees too little
 	meritLeast   = 0.7  // a narrower margin would refuse what an idle fleet serves at once
 	yieldShare   = 0.3  // of that margin, for queries whose aim has passed, where little is seen of the fleet
 	waitsLess    = 0.95 // clients count the time left themselves
 	trialShare   = 0.03 // of the parts too long in waiting that are let through
 	ghostSpan    = 3.0  // seconds that a part given up counts without news: about a full queue's length
 	paceSpan     = 2.0  // seconds of answers that make the fleet's pace
-	paceFades    = 10.0 // seconds in which it halves by itself: refusing all, a mixer hears no more of it
+	paceFades    = 10.0 // seconds in which it halves by itself: refusing all, a broker hears no more of it
 	copyTimes    = 1.5  // beyond what nineteen of twenty parts take, so that copies stay rare
 	giveUpTimes  = 3.0  // an attempt given up may run on: its work is lost, so it must be surer
 	passedTimes  = 2.0  // so much later a part was sent that was answered: cores side by side pass often
@@ -896,7 +896,7 @@
 	}
 }
 
-// wide tells of a query that loads much of a fleet of which this mixer sees too little to know how it stands.
+// wide tells of a query that loads much of a fleet of which this broker sees too little to know how it stands.
 func (p *Policy) wide(q *query) bool {
 	return len(q.parts) >= wideFrom && p.memory > wideBlind && q.step == 1
 }
--- a/shared_test.go
+++ b/shared_test.go
@@ -44,7 +44,7 @@
 	require.Greater(t, share(r), 30)
 }
 
-// A mixer that is told its room at a cold server keeps to it to the part and to the time.
+// A broker that is told its room at a cold server keeps to it to the part and to the time.
 func TestRoomOfASharedBudget(t *testing.T) {
 	r := newRig(t, settings(), servers(1)...)
 	r.warm(50, 0.01) // by its own estimate it would send several a second
@@ -65,7 +65,7 @@
 	require.Equal(t, 6, try(), "warm again: no lease is needed")
 }
 
-// Where mixers know of each other, one that has seen no answer yet tries a cold server as rarely as there are many; one
+// Where brokers know of each other, one that has seen no answer yet tries a cold server as rarely as there are many; one
 // that is told of a fleet too large to have a part of it does not at all. Nothing else hangs on their number.
 func TestTheFleetsSizeIsHeard(t *testing.T) {
 	tries := func(events ...cloverhook.Event) (n int) {
@@ -79,7 +79,7 @@
 		}
 		return n
 	}
-	require.Equal(t, 400, tries(), "the settings tell of one mixer")
-	require.InDelta(t, 100, tries(cloverhook.Fleet{Mixers: 4}), 40)
-	require.Zero(t, tries(cloverhook.Fleet{Mixers: 100_000}))
+	require.Equal(t, 400, tries(), "the settings tell of one broker")
+	require.InDelta(t, 100, tries(cloverhook.Fleet{Brokers: 4}), 40)
+	require.Zero(t, tries(cloverhook.Fleet{Brokers: 100_000}))
 }
