--- a/api.go
+++ b/api.go
@@ -205,9 +205,9 @@
 		Pace float64 // latency of a part
 		Peak float64 // parts that a warm server answers this broker a second
 	}
-	// Room tells how many more parts may go to a cold server until a time. A broker that hears so of a server
+	// Allowance tells how many more parts may go to a cold server until a time. A broker that hears so of a server
 	// holds a share of a common budget and guesses none of its own.
-	Room struct {
+	Allowance struct {
 		Server string
 		Parts  int
 		Until  float64
@@ -231,7 +231,7 @@
 func (ClientGone) event()  {}
 func (Probed) event()      {}
 func (Heard) event()       {}
-func (Room) event()        {}
+func (Allowance) event()   {}
 func (Remembered) event()  {}
 func (Fleet) event()       {}
 func (Timer) event()       {}
--- a/internal/cores/share.go
+++ b/internal/cores/share.go
@@ -12,7 +12,7 @@
 )
 
 // share is what the workers of a process have in common. Each worker's Decider is wrapped in a sharer, which puts
-// what the worker sees here and hands it what the others saw, as events that the module knows: Heard and Room.
+// what the worker sees here and hands it what the others saw, as events that the module knows: Heard and Allowance.
 // The lock is held for the few steps between a batch's events, never while a Decider decides.
 type share struct {
 	mu      sync.Mutex
@@ -33,7 +33,7 @@
 
 // coldServer is a server that warms up.
 type coldServer struct {
-	room        *lease.Room
+	budget      *lease.Budget
 	started     float64
 	luck, until float64 // how the present window's room is rounded
 	told        int     // number of the news that brought it
@@ -109,7 +109,7 @@
 		s.started[e.ID] = e.Started
 		delete(s.cold, e.ID)
 		if s.limits.FallTime > 0 && s.bearing.Warmth(e.Started, now) < 1 {
-			s.cold[e.ID] = &coldServer{room: lease.NewRoom(s.workers, s.limits.FallTime), started: e.Started,
+			s.cold[e.ID] = &coldServer{budget: lease.NewBudget(s.workers, s.limits.FallTime), started: e.Started,
 				told: s.first + len(s.news)}
 		}
 	}
@@ -173,11 +173,11 @@
 		if now >= c.until {
 			c.luck, c.until = s.bearing.Luck(), now+s.limits.FallTime
 		}
-		g := c.room.Renew(worker, s.bearing.Whole(w, c.luck, now, s.warm()), now)
+		g := c.budget.Renew(worker, s.bearing.Whole(w, c.luck, now, s.warm()), now)
 		if g.Parts == 0 {
-			c.room.Miss(worker, now)
+			c.budget.Miss(worker, now)
 		}
-		events = append(events, cloverhook.Room{Server: id, Parts: g.Parts, Until: g.Until})
+		events = append(events, cloverhook.Allowance{Server: id, Parts: g.Parts, Until: g.Until})
 	}
 	return events
 }
@@ -237,7 +237,7 @@
 		switch a := a.(type) {
 		case cloverhook.Send:
 			// One that was decided while the news came counts, but broke no lease that its worker knew of.
-			if c := d.cold[a.Server]; c != nil && !c.room.Spend(d.worker, 1, now) && c.told < d.got {
+			if c := d.cold[a.Server]; c != nil && !c.budget.Spend(d.worker, 1, now) && c.told < d.got {
 				d.over++
 			}
 		case cloverhook.Probe:
@@ -251,7 +251,7 @@
 		kept = append(kept, a)
 	}
 	for _, c := range d.cold {
-		c.room.Settle(d.worker)
+		c.budget.Settle(d.worker)
 	}
 	return kept
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -108,7 +108,7 @@
 			continue
 		}
 		c := &conn{f: f, sock: sock, reply: make(chan broker.Result, 1), wake: make(chan struct{}, 1)}
-		if !f.room() {
+		if !f.admit() {
 			f.turnAway(c)
 			continue
 		}
@@ -146,10 +146,10 @@
 	})
 }
 
-// room takes a slot for one more connection. It guards usual clients against those that connect and say
+// admit takes a slot for one more connection. It guards usual clients against those that connect and say
 // nothing, send half a request or hold their connection for good: such a connection, which waits for no
 // answer, is closed where there is no other slot. Only requests that are held can fill the front.
-func (f *Front) room() bool {
+func (f *Front) admit() bool {
 	select {
 	case f.slots <- struct{}{}:
 		return true
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -1,7 +1,7 @@
 // Package lease divides budgets that belong to a whole process over its workers. It does no I/O and keeps no
 // clock: the caller hands in the time and holds a lock.
 //
-// A Room is the room of one cold server: how many parts may go there in any window of a length. Each worker
+// A Budget is that of one cold server: how many parts may go there in any window of a length. Each worker
 // holds a lease of some parts, good until a time. What all leases grant and what has been sent within the window
 // never sum to more than the whole, so workers that send at the same moment cannot push the server over. Leases
 // expire, and what was not used goes to those that ask for more.
@@ -27,8 +27,8 @@
 	Until float64
 }
 
-// Room is the budget of one server.
-type Room struct {
+// Budget is the budget of one server.
+type Budget struct {
 	window  float64
 	holders []holder
 	sent    []float64 // times of parts sent by all, within the window
@@ -42,29 +42,29 @@
 	demandAt float64
 }
 
-// NewRoom returns the budget of a server for so many workers, counted over windows of so many seconds.
-func NewRoom(workers int, window float64) *Room {
-	return &Room{window: window, holders: make([]holder, max(workers, 1))}
+// NewBudget returns the budget of a server for so many workers, counted over windows of so many seconds.
+func NewBudget(workers int, window float64) *Budget {
+	return &Budget{window: window, holders: make([]holder, max(workers, 1))}
 }
 
 // Spend books parts that a worker has sent. It returns false where they were more than its lease, which a worker
 // that keeps to its grants never sees; they count all the same.
-func (r *Room) Spend(worker int, parts int, now float64) bool {
-	h := &r.holders[worker]
+func (b *Budget) Spend(worker int, parts int, now float64) bool {
+	h := &b.holders[worker]
 	covered := parts <= h.grant.Parts && now <= h.grant.Until
 	h.grant.Parts = max(h.grant.Parts-parts, 0)
 	for range parts {
-		r.sent = append(r.sent, now)
+		b.sent = append(b.sent, now)
 	}
 	h.note(float64(parts), now)
 	return covered
 }
 
 // Settle ends a worker's decision: what it held and has not spent may expire again.
-func (r *Room) Settle(worker int) { r.holders[worker].deciding = false }
+func (b *Budget) Settle(worker int) { b.holders[worker].deciding = false }
 
 // Miss tells that a worker could have used more than it had.
-func (r *Room) Miss(worker int, now float64) { r.holders[worker].note(1, now) }
+func (b *Budget) Miss(worker int, now float64) { b.holders[worker].note(1, now) }
 
 func (h *holder) note(parts, now float64) {
 	h.demand = h.demand*math.Exp(-(now-h.demandAt)/demandSpan) + parts
@@ -76,18 +76,18 @@
 }
 
 // Held is what is sent within the window that ends now, and what leases still grant.
-func (r *Room) Held(now float64) (sent, granted int) {
-	r.expire(now)
-	for _, h := range r.holders {
+func (b *Budget) Held(now float64) (sent, granted int) {
+	b.expire(now)
+	for _, h := range b.holders {
 		granted += h.grant.Parts
 	}
-	return len(r.sent), granted
+	return len(b.sent), granted
 }
 
-func (r *Room) expire(now float64) {
-	r.sent = slices.DeleteFunc(r.sent, func(t float64) bool { return t <= now-r.window })
-	for i := range r.holders {
-		if h := &r.holders[i]; now > h.grant.Until && !h.deciding {
+func (b *Budget) expire(now float64) {
+	b.sent = slices.DeleteFunc(b.sent, func(t float64) bool { return t <= now-b.window })
+	for i := range b.holders {
+		if h := &b.holders[i]; now > h.grant.Until && !h.deciding {
 			h.grant.Parts = 0
 		}
 	}
@@ -97,16 +97,16 @@
 // not in order: one that is slow must not find its lease given to another that came later. A lease that has expired is made anew; one that holds is returned as it is, and
 // grows where there is room that others do not want. The whole is what the server bears within one window now.
 // Where it has shrunk below what is granted, nothing is taken back: a lease is a promise, and short.
-func (r *Room) Renew(worker int, whole float64, now float64) Grant {
-	r.expire(now)
-	sent, granted := len(r.sent), 0
-	mine := &r.holders[worker]
+func (b *Budget) Renew(worker int, whole float64, now float64) Grant {
+	b.expire(now)
+	sent, granted := len(b.sent), 0
+	mine := &b.holders[worker]
 	mine.deciding = true
 	others := 0.0
-	for i := range r.holders {
-		granted += r.holders[i].grant.Parts
+	for i := range b.holders {
+		granted += b.holders[i].grant.Parts
 		if i != worker {
-			others += r.holders[i].wants(now)
+			others += b.holders[i].wants(now)
 		}
 	}
 	free := int(math.Floor(whole+1e-9)) - sent - granted
@@ -116,7 +116,7 @@
 	// A share in proportion to use. Of what rounds to nothing, single parts go round in turns.
 	share := float64(free+mine.grant.Parts) * mine.wants(now) / (mine.wants(now) + others)
 	parts := int(share) - mine.grant.Parts
-	if parts <= 0 && mine.grant.Parts == 0 && r.next(worker, now) {
+	if parts <= 0 && mine.grant.Parts == 0 && b.next(worker, now) {
 		parts = 1
 	}
 	if parts = min(max(parts, 0), free); parts > 0 || mine.grant.Parts == 0 {
@@ -128,18 +128,18 @@
 
 // next tells whether it is a worker's turn to get a single part, and passes the turn on if so. A worker that has
 // not asked for a lease's life is passed over: it must not hold up the others.
-func (r *Room) next(worker int, now float64) bool {
-	n := len(r.holders)
+func (b *Budget) next(worker int, now float64) bool {
+	n := len(b.holders)
 	for range n {
-		i := r.turn % n
+		i := b.turn % n
 		if i == worker {
-			r.turn = i + 1
+			b.turn = i + 1
 			return true
 		}
-		if h := r.holders[i]; now-h.demandAt < demandSpan && h.grant.Parts == 0 && h.demand > 0 {
+		if h := b.holders[i]; now-h.demandAt < demandSpan && h.grant.Parts == 0 && h.demand > 0 {
 			return false
 		}
-		r.turn = i + 1
+		b.turn = i + 1
 	}
 	return true
 }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -17,7 +17,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		workers := rapid.IntRange(1, 8).Draw(t, "workers")
 		const window = 1.5
-		r := lease.NewRoom(workers, window)
+		r := lease.NewBudget(workers, window)
 		now, whole := 100.0, 0
 		type decision struct {
 			at    float64
@@ -68,11 +68,11 @@
 }
 
 func TestALeaseThatExpiredSendsNothing(t *testing.T) {
-	r := lease.NewRoom(2, 1.5)
+	r := lease.NewBudget(2, 1.5)
 	require.Equal(t, 4, r.Renew(0, 8, 10).Parts)
 	r.Settle(0)
 	require.False(t, r.Spend(0, 1, 10+lease.Life+0.01))
-	r = lease.NewRoom(2, 1.5)
+	r = lease.NewBudget(2, 1.5)
 	r.Renew(0, 8, 10)
 	require.True(t, r.Spend(0, 4, 10+lease.Life/2))
 	require.False(t, r.Spend(0, 1, 10+lease.Life/2))
@@ -80,7 +80,7 @@
 
 // What one worker does not use goes to the one that does.
 func TestLeasesFollowDemand(t *testing.T) {
-	r := lease.NewRoom(4, 1.5)
+	r := lease.NewBudget(4, 1.5)
 	busy, idle := 0, 0
 	for i := range 400 { // four seconds, all renew; only worker 2 has parts to send
 		now := 10 + 0.01*float64(i)
@@ -102,7 +102,7 @@
 
 // Where the whole is less than the workers, single parts go round, and a worker that is gone holds up nobody.
 func TestASinglePartGoesRound(t *testing.T) {
-	r := lease.NewRoom(4, 0.5)
+	r := lease.NewBudget(4, 0.5)
 	got := make([]int, 4)
 	for i := range 4000 {
 		now := 10 + 0.01*float64(i)
@@ -150,7 +150,7 @@
 }
 
 func BenchmarkRenew(b *testing.B) {
-	r := lease.NewRoom(4, 1.5)
+	r := lease.NewBudget(4, 1.5)
 	for i := range b.N {
 		now := 10 + 0.001*float64(i)
 		if g := r.Renew(i%4, 50, now); g.Parts > 0 {
--- a/policy.go
+++ b/policy.go
@@ -43,10 +43,10 @@
 	own             int     // this broker's attempts out there
 	pace, paceAt    float64 // latency over crowd of its latest parts, and when it was so
 
-	sends           []float64 // times of sends within FallTime, for the cold cap
-	coldSince       float64   // start of the warm-up; -Inf: warm
-	luck, luckUntil float64   // how the present window's room is rounded
-	room            *Room     // of a budget shared with other brokers; nil: there is none
+	sends           []float64  // times of sends within FallTime, for the cold cap
+	coldSince       float64    // start of the warm-up; -Inf: warm
+	luck, luckUntil float64    // how the present window's room is rounded
+	allowance       *Allowance // of a budget shared with other brokers; nil: there is none
 
 	turn int     // the draw's turn that key belongs to
 	key  float64 // exponential variate / weight in that turn
@@ -169,9 +169,9 @@
 			p.pace, p.peak = cmp.Or(p.pace, e.Pace), math.Max(p.peak, e.Peak)
 		case Fleet:
 			p.set.Brokers = e.Brokers
-		case Room:
+		case Allowance:
 			if s := p.byID[e.Server]; s != nil {
-				s.room, s.sends = &e, nil
+				s.allowance, s.sends = &e, nil
 			}
 		case Timer:
 			if p.armed <= now+edgeSlack {
@@ -494,14 +494,14 @@
 	return p.set.ColdShare + (1-p.set.ColdShare)*math.Max(age, 0)/p.set.WarmUp
 }
 
-// coldRoom tells whether a cold server may get one more part. What warm servers answer bounds their capacity
+// admitsCold tells whether a cold server may get one more part. What warm servers answer bounds what they bear
 // from below, and each broker keeps to its own share of that.
-func (p *Policy) coldRoom(s *server) bool {
+func (p *Policy) admitsCold(s *server) bool {
 	w := p.warmth(s)
 	if w >= 1 || p.set.FallTime <= 0 {
 		return true
-	} else if s.room != nil {
-		return len(s.sends) < s.room.Parts && p.now <= s.room.Until
+	} else if s.allowance != nil {
+		return len(s.sends) < s.allowance.Parts && p.now <= s.allowance.Until
 	}
 	s.sends = slices.DeleteFunc(s.sends, func(t float64) bool { return t < p.now-p.set.FallTime })
 	// Chance rounds this broker's share, anew in each window: up always would add up over the brokers.
@@ -521,7 +521,7 @@
 	for _, again := range []bool{false, true} {
 		p.holders(pt.Shard, func(s *server) {
 			tried, just := pt.tried(s, p.now)
-			if !s.ready() || just || tried && !again || !p.coldRoom(s) {
+			if !s.ready() || just || tried && !again || !p.admitsCold(s) {
 				return
 			}
 			if s.turn != p.turn {
@@ -748,7 +748,7 @@
 func (p *Policy) wait(shard int) float64 {
 	all, able, idle, share := 0.0, 0.0, 0.0, 0.0
 	p.holders(shard, func(s *server) {
-		if s.ready() && p.coldRoom(s) {
+		if s.ready() && p.admitsCold(s) {
 			w, pace := p.sound(s)*p.warmth(s), math.Max(p.paceOf(s), 1e-6)
 			all, able = all+1, able+w
 			idle, share = idle+w/pace, share+w/pace/float64(1+s.depth(p.now))
@@ -896,7 +896,7 @@
 	}
 }
 
-// wide tells of a query that loads much of a fleet of which this broker sees too little to know how it stands.
+// wide tells of a query that loads much of a fleet of which this broker sees too little to know its state.
 func (p *Policy) wide(q *query) bool {
 	return len(q.parts) >= wideFrom && p.memory > wideBlind && q.step == 1
 }
--- a/shared_test.go
+++ b/shared_test.go
@@ -57,10 +57,10 @@
 		}
 		return len(out)
 	}
-	require.Equal(t, 2, try(cloverhook.Room{Server: "s0", Parts: 2, Until: r.now + 0.1}))
+	require.Equal(t, 2, try(cloverhook.Allowance{Server: "s0", Parts: 2, Until: r.now + 0.1}))
 	require.Zero(t, try())
-	require.Equal(t, 3, try(cloverhook.Room{Server: "s0", Parts: 3, Until: r.now + 0.1}))
-	require.Zero(t, try(cloverhook.Room{Server: "s0", Parts: 3, Until: r.now - 0.01}), "the lease has expired")
+	require.Equal(t, 3, try(cloverhook.Allowance{Server: "s0", Parts: 3, Until: r.now + 0.1}))
+	require.Zero(t, try(cloverhook.Allowance{Server: "s0", Parts: 3, Until: r.now - 0.01}), "the lease has expired")
 	r.now += 20
 	require.Equal(t, 6, try(), "warm again: no lease is needed")
 }
