--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -18,7 +18,8 @@
 	doneMost   = 64                     // ids of the latest answered calls kept; a second copy follows the first directly
 	staleMost  = 1024                   // ids of cancelled calls kept; a connection with more is retired
 	wholeLimit = 400 * time.Millisecond // for a frame to come whole: what is not may be noise
-	writeLimit = 2 * time.Second        // a peer that takes no bytes for so long is given up
+	writeLimit = 2 * time.Second        // a peer that takes no bytes for so long is given up,
+	stuckAfter = 20 * time.Millisecond  // or for so long, once what is being written is taken back
 )
 
 // A part that must not run twice is lost where its connection breaks, so it goes by one that is sure, else by a
@@ -71,6 +72,7 @@
 	doneIDs []string        // the same, in order
 	probes  []*job          // written and unanswered, in order
 	heard   time.Time       // when the last message came; zero: none has
+	writes  time.Time       // since when bytes are being written; zero: none are
 	owed    time.Time       // since when it owes an answer without a word; zero: it owes none
 	wake    chan struct{}   // tells the writer that there is something, cap 1
 	idle    *time.Timer     // runs while nothing is out
@@ -119,6 +121,16 @@
 // cancel takes a call off. The caller holds mu.
 func (cn *conn) cancel(j *job) {
 	delete(cn.calls, j.id)
+	if j.state == jobWriting && time.Since(cn.writes) > stuckAfter {
+		// Guards against a peer that takes no bytes: the rest of the frame would come to it long after another attempt
+		// has begun, with the cancel behind it. A reset takes back what is not delivered.
+		j.state = jobOver
+		if t, ok := cn.sock.(*net.TCPConn); ok {
+			t.SetLinger(0)
+		}
+		cn.fail(errStuck)
+		return
+	}
 	if j.state == jobWriting || j.state == jobWritten {
 		// Guards against a machine that has dropped off the network: its connections stay open and silent,
 		// and what is written to them may have run. A new one does not come up, and shows that nothing ran.
@@ -183,6 +195,7 @@
 
 var (
 	errIdle    = errors.New("the connection was idle")
+	errStuck   = errors.New("the server takes no bytes")
 	errRefused = errors.New("the server could not use a frame")
 	errSpoilt  = errors.New("the server sent what cannot be read")
 	errMoot    = errors.New("nobody waits for the connection any more")
@@ -296,6 +309,7 @@
 			<-cn.wake
 			continue
 		}
+		cn.writes = time.Now()
 		cn.l.mu.Unlock()
 		if !ready {
 			continue
--- /dev/null
+++ b/internal/upstream/pace_test.go
@@ -0,0 +1,52 @@
+package upstream
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cloverhook"
+	"cloverhook/internal/broker"
+	"cloverhook/internal/frame"
+)
+
+type asks struct{}
+
+func (a asks) Handle(_ float64, events []cloverhook.Event) (do []cloverhook.Action) {
+	for _, e := range events {
+		if p, ok := e.(cloverhook.Part); ok {
+			do = append(do, cloverhook.Send{ID: p.ID, Server: "s"})
+		}
+	}
+	return do
+}
+
+type calls chan *broker.Call
+
+func (c calls) Send(x *broker.Call) { c <- x }
+func (calls) Cancel(*broker.Call)   {}
+func (calls) Probe(*broker.Probe)   {}
+
+type nobody struct{}
+
+func (nobody) Finish(broker.Result) {}
+
+// An answer may come before the writer has noted when it had written the call. It must not count as having taken since
+// the zero time: for hundreds of answers no silence would be noticed.
+func TestAnAnswerAheadOfItsWriterTellsNoTime(t *testing.T) {
+	out := make(calls, 1)
+	b := broker.New(broker.Options{Settings: cloverhook.Settings{Classes: []cloverhook.Class{{Deadline: 9, Need: 1, Floor: 1}}}}, asks{}, out)
+	go b.Run(t.Context())
+	b.Update(broker.List{Mode: cloverhook.ListFull, Servers: []broker.ListEntry{{Server: cloverhook.Server{ID: "s"}, Addr: "a"}}})
+	b.Take(&broker.Request{ID: "q", Arrived: time.Now(), Patience: time.Second, Parts: []broker.Part{{Share: 1}}}, nobody{})
+	l := New(t.Context(), Options{})
+	cn := newConn(l, "a", nil)
+	j := &job{call: <-out, id: "q.0", state: jobWriting}
+	cn.calls[j.id] = j
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	require.NoError(t, cn.take(frame.Message{Letter: 'R', Reply: frame.Reply{ID: []byte("q.0"), Status: cloverhook.OK, Value: []byte("v")}}))
+	require.Zero(t, l.pace)
+	require.Equal(t, SilentFor, l.patience())
+}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -1,9 +1,12 @@
 package upstream_test
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -56,7 +59,7 @@
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(func() { cancel(); l.Close() })
-	r := &rig{T: t, l: l, script: script{make(chan cloverhook.Part, 9), make(chan cloverhook.Ended, 9), make(chan []cloverhook.Action, 9)}}
+	r := &rig{T: t, l: l, script: script{make(chan cloverhook.Part, 9), make(chan cloverhook.Ended, 999), make(chan []cloverhook.Action, 9)}}
 	set := cloverhook.Settings{Cells: 1, Reach: 1, Classes: []cloverhook.Class{
 		{Deadline: 9, Need: 1, Floor: 1}, {Deadline: 9, Need: 1, Floor: 1, Repeat: cloverhook.RepeatUnsafe}}}
 	r.b = broker.New(broker.Options{Settings: set}, r.script, upstream.New(ctx, opt))
@@ -328,3 +331,43 @@
 	_, err = p.Read(make([]byte, 1))
 	require.ErrorIs(t, err, io.EOF)
 }
+
+// A server takes no bytes, and the call that is just being written is taken back. The rest of its frame must not come to
+// the server later, when another attempt may be out.
+func TestACallTakenBackHalfWrittenIsNeverDelivered(t *testing.T) {
+	r := newRig(t, upstream.Options{Streams: 1000, Idle: time.Minute, ConnectTimeout: 250 * time.Millisecond})
+	text := bytes.Repeat([]byte("x"), 60<<10)
+	var ids []cloverhook.RequestID
+	for i := range 300 { // more than what the system takes off the writer's hands
+		r.b.Take(&broker.Request{ID: fmt.Sprint("q", i), Arrived: time.Now(), Patience: 9 * time.Second,
+			Parts: []broker.Part{{Share: 1}}, Text: text}, nobody{})
+		id := (<-r.parts).ID
+		r.do(send(id))
+		ids = append(ids, id)
+	}
+	p := r.accept()
+	time.Sleep(300 * time.Millisecond)
+	for _, id := range ids {
+		r.do(cloverhook.Cancel{ID: id})
+		require.NotEqual(t, cloverhook.OK, (<-r.ended).Status)
+	}
+	require.NoError(t, p.SetReadDeadline(time.Now().Add(5*time.Second)))
+	var err error
+	whole := 0
+	for err == nil {
+		var n int
+		n, err = p.Read(p.in.Space())
+		p.in.Filled(n)
+		for {
+			m, ok, bad := p.in.Next()
+			require.NoError(t, bad)
+			if !ok {
+				break
+			}
+			require.Equal(t, "S", string(m.Letter), "no cancel follows, since the connection is reset")
+			whole++
+		}
+	}
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+	require.Less(t, whole, 300)
+}
