--- a/policy.go
+++ b/policy.go
@@ -494,7 +494,7 @@
 	return p.set.ColdShare + (1-p.set.ColdShare)*math.Max(age, 0)/p.set.WarmUp
 }
 
-// admitsCold tells whether a cold server may get one more part. What warm servers answer bounds what they bear
+// admitsCold tells whether a cold server may get one more part. What warm ones answer bounds what they bear
 // from below, and each broker keeps to its own share of that.
 func (p *Policy) admitsCold(s *server) bool {
 	w := p.warmth(s)
