Keep a part's window for repeats as the moment it ends, and ask less of the front's lock

The window was worked out anew, twice, for every send, with infinity for parts that have none; it is now noted once, when an attempt that may have run ends. A connection that holds a request looked up the end's state and its eviction, two locks an event, to no use. The plan of the next call to discovery asked the same twice.

--- a/internal/broker/call.go
+++ b/internal/broker/call.go
@@ -125,8 +125,8 @@
 		c.Deadline = t
 	}
 	c.begin = c.Deadline
-	if t := time.Now().Add(b.clock.until(pt.window())); t.Before(c.begin) {
-		c.begin = t
+	if !pt.until.IsZero() && pt.until.Before(c.begin) {
+		c.begin = pt.until
 	}
 	pt.live = c
 	c.stop = b.after(time.Until(c.Deadline), func() { b.giveUp(c, cloverhook.TimedOut) })
@@ -145,7 +145,7 @@
 		return "the part has had all its attempts"
 	case pt.mayRun && pt.q.class.Repeat == cloverhook.RepeatUnsafe:
 		return "the part may have run and must not run twice"
-	case b.clock.now() >= pt.window():
+	case !pt.until.IsZero() && !time.Now().Before(pt.until):
 		return "the part may have run and its window for repeats is over"
 	case pt.q.req.gone():
 		return "the client has gone"
@@ -189,9 +189,11 @@
 	switch r.Status {
 	case cloverhook.Overloaded, cloverhook.Unreachable, cloverhook.NotSent:
 	default:
-		if !pt.mayRun {
-			pt.mayRun, pt.ranAt = true, c.sent
+		// Where servers drop repeats, they do so for a time from the first attempt that may have run.
+		if class := &pt.q.class; !pt.mayRun && class.Repeat == cloverhook.RepeatKeyed {
+			pt.until = time.Now().Add(b.clock.until(c.sent + class.RepeatWindow - windowLead))
 		}
+		pt.mayRun = true
 	}
 	if r.Status == cloverhook.OK && !pt.over {
 		pt.in, pt.value = true, r.Value
--- a/internal/broker/query.go
+++ b/internal/broker/query.go
@@ -1,7 +1,6 @@
 package broker
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -52,8 +51,8 @@
 	q        *query
 	attempts int
 	live     *Call
-	mayRun   bool    // an attempt that ended may have run
-	ranAt    float64 // when the first of those was sent
+	mayRun   bool      // an attempt that ended may have run
+	until    time.Time // then no repeat begins any more, since servers do not drop it; zero: nothing forbids it
 	in       bool
 	over     bool // its query has ended
 	value    []byte
@@ -62,15 +61,6 @@
 // windowLead is for a repeat's way to its server: the window counts up to its last byte.
 const windowLead = 0.005 // seconds
 
-// window is when the part's window for repeats ends, in the clock's seconds: where servers drop repeats, they do so
-// for a time from the first attempt that may have run.
-func (pt *part) window() float64 {
-	if !pt.mayRun || pt.q.class.Repeat != cloverhook.RepeatKeyed {
-		return math.Inf(1)
-	}
-	return pt.ranAt + pt.q.class.RepeatWindow - windowLead
-}
-
 // Take hands a query to the core. The client hears of its end once, unless it leaves before.
 func (b *Broker) Take(r *Request, c Client) {
 	if !b.post(func() { b.take(r, c) }) {
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -1,7 +1,7 @@
 // Package drain decides what a process does for its clients while operators drain it, and when it is told to end. It
-// does no I/O and keeps no clock. A drain goes in steps, since fronts and clients hear of it one after the other: first the process is not up
-// any more and says so on each answer; then connections that wait for nothing are closed; then requests that come all
-// the same are refused. A drain that ends undoes all of it at once.
+// does no I/O and keeps no clock. A drain goes in steps, since fronts and clients hear of it one after the other: first the
+// process is not up any more and says so on each answer; then connections that wait for nothing are closed; then
+// requests that come all the same are refused. A drain that ends undoes all of it at once.
 package drain
 
 import "time"
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -116,7 +116,10 @@
 					c.f.rest(c)
 				}
 			}
-			if c.held == nil && !started && c.reader.Begun() {
+			if c.held != nil {
+				break
+			}
+			if !started && c.reader.Begun() {
 				c.f.begin(c)
 				started, over = true, false
 				if !first {
@@ -124,7 +127,7 @@
 				}
 			}
 			s, evicted := c.f.state(), c.f.evicts(c)
-			if c.held != nil || !over && !evicted && !s.all && (!s.idle || started) {
+			if !over && !evicted && !s.all && (!s.idle || started) {
 				break
 			}
 			// It ends between requests. What the reader has taken off the socket by now is served all the same, since
--- a/internal/listwatch/listwatch.go
+++ b/internal/listwatch/listwatch.go
@@ -63,13 +63,12 @@
 // calls fail: a change that discovery could not tell binds 6 s after it could, so calls begin no further apart than
 // leaves the next one its time within that, whatever became of those before.
 func (w *Watch) plan(now time.Time) {
-	if !w.by.IsZero() && !w.by.After(now) {
-		w.next = now
-		return
-	}
-	left := time.Duration(0)
+	left := time.Duration(0) // nothing bounds the wait before the first call
 	if !w.by.IsZero() {
-		left = w.by.Sub(now)
+		if left = w.by.Sub(now); left <= 0 {
+			w.next = now
+			return
+		}
 	}
 	w.next = now.Add(w.waits.Next(left))
 }
