--- a/cmd/mothrouter/drained_test.go
+++ b/cmd/mothrouter/drained_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"cloverhook/internal/broker"
+	"mothrouter/internal/broker"
 )
 
 // taker is a core that keeps what it is handed.
--- a/cmd/mothrouter/flight_test.go
+++ b/cmd/mothrouter/flight_test.go
@@ -26,8 +26,8 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
-	mothflight "cloverhook/internal/flight"
-	"cloverhook/internal/httpwire"
+	mothflight "mothrouter/internal/flight"
+	"mothrouter/internal/httpwire"
 )
 
 // recordServer is a stand-in record server that speaks Flight. Its answer to a part is up to the test.
--- a/cmd/mothrouter/main.go
+++ b/cmd/mothrouter/main.go
@@ -1,5 +1,5 @@
 // Command mothrouter is a query broker: it takes queries cut into parts, has record servers answer the
-// parts as the module cloverhook decides, and gives each query one final answer.
+// parts as package decision decides, and gives each query one final answer.
 package main
 
 import (
@@ -17,22 +17,22 @@
 	"syscall"
 	"time"
 
-	"cloverhook"
-	"cloverhook/internal/assembly"
-	"cloverhook/internal/backoff"
-	"cloverhook/internal/broker"
-	"cloverhook/internal/checkpoint"
-	"cloverhook/internal/config"
-	"cloverhook/internal/control"
-	"cloverhook/internal/cores"
-	"cloverhook/internal/discovery"
-	"cloverhook/internal/drain"
-	"cloverhook/internal/fleet"
-	"cloverhook/internal/flight"
-	"cloverhook/internal/front"
-	"cloverhook/internal/membership"
-	"cloverhook/internal/metrics"
-	"cloverhook/internal/upstream"
+	"mothrouter/internal/assembly"
+	"mothrouter/internal/backoff"
+	"mothrouter/internal/broker"
+	"mothrouter/internal/checkpoint"
+	"mothrouter/internal/config"
+	"mothrouter/internal/control"
+	"mothrouter/internal/cores"
+	"mothrouter/internal/decision"
+	"mothrouter/internal/discovery"
+	"mothrouter/internal/drain"
+	"mothrouter/internal/fleet"
+	"mothrouter/internal/flight"
+	"mothrouter/internal/front"
+	"mothrouter/internal/membership"
+	"mothrouter/internal/metrics"
+	"mothrouter/internal/upstream"
 )
 
 const (
@@ -117,7 +117,7 @@
 		keep := checkpoint.Open(checkpoint.Options{Folder: state.Folder, Interval: state.Interval, Instance: cfg.Name,
 			Settings: cfg.Fingerprint(), Seed: cfg.Seed, Log: log})
 		parts.Add(assembly.Part{Name: "state", Run: keep.Run,
-			Wrap: func(_ int, inner cloverhook.Decider) cloverhook.Decider { return keep.Watch(inner) }})
+			Wrap: func(_ int, inner decision.Decider) decision.Decider { return keep.Watch(inner) }})
 	}
 	callers, told := backoff.Callers(cfg.Settings.Brokers)
 	if !told {
@@ -131,15 +131,15 @@
 		}
 		others, err := join(peers, cfg, log, func(n int) {
 			waits.Resize(n)
-			core.Tell(cloverhook.Fleet{Brokers: n})
+			core.Tell(decision.Fleet{Brokers: n})
 		})
 		if err != nil {
 			return err
 		}
 		parts.Add(assembly.Part{Name: "fleet", Run: others.Run})
 	}
-	decider := parts.Decider(func(_ int, set cloverhook.Settings, seed uint64) cloverhook.Decider {
-		return cloverhook.New(set, seed)
+	decider := parts.Decider(func(_ int, set decision.Settings, seed uint64) decision.Decider {
+		return decision.New(set, seed)
 	})
 	var died <-chan struct{} // nil, which never speaks, with one loop: its panic ends the process
 	if files.cores == "" {
@@ -239,7 +239,7 @@
 	Drain(context.Context)
 	EndBy(time.Time)
 	Gauges() (held, entries, avoided int)
-	Tell(cloverhook.Event)
+	Tell(decision.Event)
 }
 
 // join opens this process's end of the fleet's plane. Each change of the fleet is told as the number of brokers that
--- a/cmd/mothrouter/state.go
+++ b/cmd/mothrouter/state.go
@@ -10,10 +10,10 @@
 
 	"github.com/spf13/cobra"
 
-	"cloverhook"
-	"cloverhook/internal/checkpoint"
-	"cloverhook/internal/recovery"
-	"cloverhook/internal/snapshot"
+	"mothrouter/internal/checkpoint"
+	"mothrouter/internal/decision"
+	"mothrouter/internal/recovery"
+	"mothrouter/internal/snapshot"
 )
 
 // stateCommand is `mothrouter state`: what on-call staff do with the file of what was learned.
@@ -46,7 +46,7 @@
 				}
 				if v.LoadAt > 0 {
 					report = fmt.Sprintf("%.1f s old", now-v.LoadAt)
-					if v.Load.Busy != cloverhook.NoLoad.Busy {
+					if v.Load.Busy != decision.NoLoad.Busy {
 						report += fmt.Sprintf(", busy %.0f %%", 100*v.Load.Busy)
 					}
 				}
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -1,17 +1,17 @@
-// Command wirehost runs cloverhook behind the simulator's wire on standard input and output.
+// Command wirehost runs the decisions behind the simulator's wire on standard input and output.
 package main
 
 import (
 	"fmt"
 	"os"
 
-	"cloverhook"
-	"cloverhook/internal/wire"
+	"mothrouter/internal/decision"
+	"mothrouter/internal/wire"
 )
 
 func main() {
-	newDecider := func(s cloverhook.Settings, seed uint64) cloverhook.Decider {
-		return cloverhook.New(s, seed)
+	newDecider := func(s decision.Settings, seed uint64) decision.Decider {
+		return decision.New(s, seed)
 	}
 	if err := wire.Serve(os.Stdin, os.Stdout, newDecider); err != nil {
 		fmt.Fprintln(os.Stderr, "wirehost:", err)
--- a/internal/assembly/assembly.go
+++ b/internal/assembly/assembly.go
@@ -8,14 +8,14 @@
 	"sync"
 	"time"
 
-	"cloverhook"
+	"mothrouter/internal/decision"
 )
 
 // Make makes the Decider of one worker.
-type Make func(worker int, set cloverhook.Settings, seed uint64) cloverhook.Decider
+type Make func(worker int, set decision.Settings, seed uint64) decision.Decider
 
 // Wrap puts something around a worker's Decider.
-type Wrap func(worker int, inner cloverhook.Decider) cloverhook.Decider
+type Wrap func(worker int, inner decision.Decider) decision.Decider
 
 // Part is one thing that runs beside the others.
 type Part struct {
@@ -47,7 +47,7 @@
 
 // Decider makes deciders that all parts have wrapped.
 func (a *Assembly) Decider(inner Make) Make {
-	return func(worker int, set cloverhook.Settings, seed uint64) cloverhook.Decider {
+	return func(worker int, set decision.Settings, seed uint64) decision.Decider {
 		d := inner(worker, set, seed)
 		for _, p := range a.parts {
 			if p.Wrap != nil {
--- a/internal/assembly/assembly_test.go
+++ b/internal/assembly/assembly_test.go
@@ -10,21 +10,21 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
-	"cloverhook"
-	"cloverhook/internal/assembly"
+	"mothrouter/internal/assembly"
+	"mothrouter/internal/decision"
 )
 
 // named is a Decider that says who it is in a log line.
 type named struct {
 	name  string
-	inner cloverhook.Decider
+	inner decision.Decider
 }
 
-func (n named) Handle(now float64, events []cloverhook.Event) (actions []cloverhook.Action) {
+func (n named) Handle(now float64, events []decision.Event) (actions []decision.Action) {
 	if n.inner != nil {
 		actions = n.inner.Handle(now, events)
 	}
-	return append(actions, cloverhook.Log{Line: n.name})
+	return append(actions, decision.Log{Line: n.name})
 }
 
 func TestPartsWrapInOrderAndEndInTheReverse(t *testing.T) {
@@ -45,17 +45,17 @@
 			say(name)
 		}}
 		if name != "second" {
-			p.Wrap = func(_ int, inner cloverhook.Decider) cloverhook.Decider { return named{name, inner} }
+			p.Wrap = func(_ int, inner decision.Decider) decision.Decider { return named{name, inner} }
 		}
 		a.Add(p)
 	}
 	a.Add(assembly.Part{Name: "nothing to run"})
-	make := a.Decider(func(worker int, _ cloverhook.Settings, _ uint64) cloverhook.Decider {
+	make := a.Decider(func(worker int, _ decision.Settings, _ uint64) decision.Decider {
 		return named{[]string{"zero", "one"}[worker], nil}
 	})
 	for worker, name := range []string{"zero", "one"} {
-		require.Equal(t, []cloverhook.Action{cloverhook.Log{Line: name}, cloverhook.Log{Line: "first"}, cloverhook.Log{Line: "third"}},
-			make(worker, cloverhook.Settings{}, 1).Handle(0, nil))
+		require.Equal(t, []decision.Action{decision.Log{Line: name}, decision.Log{Line: "first"}, decision.Log{Line: "third"}},
+			make(worker, decision.Settings{}, 1).Handle(0, nil))
 	}
 	a.Start()
 	for range 3 {
--- a/internal/backoff/backoff_test.go
+++ b/internal/backoff/backoff_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"cloverhook/internal/backoff"
+	"mothrouter/internal/backoff"
 )
 
 // call is one call of a caller, due at a time.
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"cloverhook"
+	"mothrouter/internal/decision"
 )
 
 const (
@@ -19,7 +19,7 @@
 
 // Options are what the broker itself has to know of a deployment.
 type Options struct {
-	Settings cloverhook.Settings
+	Settings decision.Settings
 	OpenCap  int           // queries and parts held at most; 0: no limit
 	Log      *slog.Logger  // nil: the default one
 	ProbeFor time.Duration // how long a probe's answer is waited for
@@ -57,7 +57,7 @@
 // Broker is the core. Make it with New, then Run it.
 type Broker struct {
 	opt     Options
-	decider cloverhook.Decider
+	decider decision.Decider
 	link    Link
 	clock   clock
 	log     *slog.Logger
@@ -65,11 +65,11 @@
 	stopped chan struct{}
 
 	// Owned by the loop.
-	batch   []cloverhook.Event
-	lastID  cloverhook.RequestID
+	batch   []decision.Event
+	lastID  decision.RequestID
 	open    int // queries and parts held
-	queries map[cloverhook.RequestID]*query
-	parts   map[cloverhook.RequestID]*part
+	queries map[decision.RequestID]*query
+	parts   map[decision.RequestID]*part
 	byName  map[string]*query
 	servers *Servers
 	timers  map[*time.Timer]struct{}
@@ -80,7 +80,7 @@
 }
 
 // New makes a broker that decides with d and sends by link.
-func New(opt Options, d cloverhook.Decider, link Link) *Broker {
+func New(opt Options, d decision.Decider, link Link) *Broker {
 	if opt.Log == nil {
 		opt.Log = slog.Default()
 	}
@@ -94,7 +94,7 @@
 	return &Broker{
 		opt: opt, decider: d, link: link, clock: newClock(), log: opt.Log,
 		inbox: inbox{wake: make(chan struct{}, 1)}, stopped: make(chan struct{}),
-		queries: map[cloverhook.RequestID]*query{}, parts: map[cloverhook.RequestID]*part{},
+		queries: map[decision.RequestID]*query{}, parts: map[decision.RequestID]*part{},
 		byName: map[string]*query{}, servers: servers, timers: map[*time.Timer]struct{}{},
 	}
 }
@@ -179,42 +179,42 @@
 	}
 }
 
-func (b *Broker) tell(e cloverhook.Event) { b.batch = append(b.batch, e) }
+func (b *Broker) tell(e decision.Event) { b.batch = append(b.batch, e) }
 
 // perform carries out one action. What the rules forbid is not done, whoever asks for it.
-func (b *Broker) perform(action cloverhook.Action) {
+func (b *Broker) perform(action decision.Action) {
 	switch a := action.(type) {
-	case cloverhook.Send:
+	case decision.Send:
 		b.send(a)
-	case cloverhook.Cancel:
+	case decision.Cancel:
 		if pt := b.parts[a.ID]; pt != nil && pt.live != nil && pt.live.number == a.Attempt {
-			b.giveUp(pt.live, cloverhook.Cancelled)
+			b.giveUp(pt.live, decision.Cancelled)
 		}
-	case cloverhook.Answer:
+	case decision.Answer:
 		if q := b.queries[a.ID]; q != nil {
 			b.finish(q, q.answer(a.Whole))
 		}
-	case cloverhook.Refuse:
+	case decision.Refuse:
 		if q := b.queries[a.ID]; q != nil {
 			b.finish(q, q.refusal(a.RetryAfter))
 		}
-	case cloverhook.Fail:
+	case decision.Fail:
 		if q := b.queries[a.ID]; q != nil {
 			b.finish(q, Result{Outcome: Failed})
 		}
-	case cloverhook.SetTimer:
-		b.after(b.clock.until(a.At), func() { b.tell(cloverhook.Timer{Token: a.Token}) })
-	case cloverhook.Probe:
+	case decision.SetTimer:
+		b.after(b.clock.until(a.At), func() { b.tell(decision.Timer{Token: a.Token}) })
+	case decision.Probe:
 		b.probe(a.Server)
-	case cloverhook.Log:
+	case decision.Log:
 		b.log.Info(a.Line)
-	case cloverhook.Watch, cloverhook.Fetch:
+	case decision.Watch, decision.Fetch:
 		// The list is pushed to a real broker: its watch is always on.
 	}
 }
 
 // Tell hands the Decider an event of a part that runs beside the loop. It does not wait.
-func (b *Broker) Tell(e cloverhook.Event) { b.post(func() { b.tell(e) }) }
+func (b *Broker) Tell(e decision.Event) { b.post(func() { b.tell(e) }) }
 
 // after runs f on the loop after d. The loop calls it. The timer is the wait's own; the returned function
 // stops it.
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -8,21 +8,21 @@
 
 	"github.com/stretchr/testify/require"
 
-	"cloverhook"
-	"cloverhook/internal/broker"
+	"mothrouter/internal/broker"
+	"mothrouter/internal/decision"
 )
 
 // script is a Decider that does what the test says, whether or not the rules allow it.
 type script struct {
-	events  chan cloverhook.Event
-	actions chan []cloverhook.Action
+	events  chan decision.Event
+	actions chan []decision.Action
 }
 
-func (s script) Handle(_ float64, events []cloverhook.Event) []cloverhook.Action {
+func (s script) Handle(_ float64, events []decision.Event) []decision.Action {
 	woken := false
 	for _, e := range events {
 		s.events <- e
-		_, list := e.(cloverhook.List)
+		_, list := e.(decision.List)
 		woken = woken || list
 	}
 	if woken && len(s.actions) > 0 {
@@ -37,7 +37,7 @@
 func (l link) Send(c *broker.Call)   { l.sent <- c }
 func (l link) Cancel(c *broker.Call) { l.cancelled <- c }
 func (l link) Probe(p *broker.Probe) {
-	p.Done(broker.Reply{Status: cloverhook.OK, Load: cloverhook.NoLoad})
+	p.Done(broker.Reply{Status: decision.OK, Load: decision.NoLoad})
 }
 
 type client chan broker.Result
@@ -59,35 +59,35 @@
 )
 
 func newRig(t *testing.T) *rig {
-	r := &rig{T: t, script: script{make(chan cloverhook.Event, 100), make(chan []cloverhook.Action, 10)},
+	r := &rig{T: t, script: script{make(chan decision.Event, 100), make(chan []decision.Action, 10)},
 		link: link{make(chan *broker.Call, 10), make(chan *broker.Call, 10)}}
-	set := cloverhook.Settings{Cells: 4, Reach: 2, MaxAttempts: 3, RetryAfter: true, MaxWait: 0.5,
-		ReportMode: cloverhook.ReportPiggyback, Classes: []cloverhook.Class{
+	set := decision.Settings{Cells: 4, Reach: 2, MaxAttempts: 3, RetryAfter: true, MaxWait: 0.5,
+		ReportMode: decision.ReportPiggyback, Classes: []decision.Class{
 			{Deadline: 4, Need: 1, Floor: 1},
-			{Deadline: 4, Need: 1, Floor: 1, Repeat: cloverhook.RepeatUnsafe},
+			{Deadline: 4, Need: 1, Floor: 1, Repeat: decision.RepeatUnsafe},
 			{Deadline: 4, Need: 1, Floor: 0.8},
-			{Deadline: 4, Need: 1, Floor: 1, Repeat: cloverhook.RepeatKeyed, RepeatWindow: 0.2}}}
+			{Deadline: 4, Need: 1, Floor: 1, Repeat: decision.RepeatKeyed, RepeatWindow: 0.2}}}
 	r.b = broker.New(broker.Options{Settings: set, OpenCap: 7}, r.script, r.link)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go r.b.Run(ctx)
-	r.list(cloverhook.ListCached, "s0", 0, cloverhook.Ready, "s1", 1, cloverhook.Ready, "s2", 2, cloverhook.Ready)
+	r.list(decision.ListCached, "s0", 0, decision.Ready, "s1", 1, decision.Ready, "s2", 2, decision.Ready)
 	return r
 }
 
 // list tells id, cell and state of servers.
-func (r *rig) list(mode cloverhook.ListMode, entries ...any) {
+func (r *rig) list(mode decision.ListMode, entries ...any) {
 	l := broker.List{Mode: mode}
 	for i := 0; i < len(entries); i += 3 {
-		l.Servers = append(l.Servers, broker.ListEntry{Addr: entries[i].(string), Server: cloverhook.Server{
-			ID: entries[i].(string), Cell: entries[i+1].(int), State: entries[i+2].(cloverhook.State)}})
+		l.Servers = append(l.Servers, broker.ListEntry{Addr: entries[i].(string), Server: decision.Server{
+			ID: entries[i].(string), Cell: entries[i+1].(int), State: entries[i+2].(decision.State)}})
 	}
 	r.b.Update(l)
-	event[cloverhook.List](r)
+	event[decision.List](r)
 }
 
 // event waits for the next event of a kind.
-func event[E cloverhook.Event](r *rig) E {
+func event[E decision.Event](r *rig) E {
 	r.Helper()
 	for limit := time.After(2 * time.Second); ; {
 		select {
@@ -102,7 +102,7 @@
 }
 
 // take hands a query of equal parts at shards 1, 2 ... over and returns the ids of query and first part.
-func (r *rig) take(name string, class, parts int, patience time.Duration) (cloverhook.RequestID, cloverhook.RequestID, client, *broker.Request) {
+func (r *rig) take(name string, class, parts int, patience time.Duration) (decision.RequestID, decision.RequestID, client, *broker.Request) {
 	req := &broker.Request{ID: name, Class: class, Arrived: time.Now(), Patience: patience, Text: []byte("x")}
 	for i := range parts {
 		req.Parts = append(req.Parts, broker.Part{Shard: i + 1, Share: 1 / float64(parts)})
@@ -110,27 +110,27 @@
 	require.NoError(r, req.Check(24))
 	c := make(client, 1)
 	r.b.Take(req, c)
-	q := event[cloverhook.Query](r)
-	first := event[cloverhook.Part](r).ID
+	q := event[decision.Query](r)
+	first := event[decision.Part](r).ID
 	for range parts - 1 {
-		event[cloverhook.Part](r)
+		event[decision.Part](r)
 	}
 	return q.ID, first, c, req
 }
 
 // do has the Decider act, woken by a list that changes nothing.
-func (r *rig) do(actions ...cloverhook.Action) {
+func (r *rig) do(actions ...decision.Action) {
 	r.actions <- actions
-	r.list(cloverhook.ListDelta)
+	r.list(decision.ListDelta)
 }
 
-func (r *rig) send(id cloverhook.RequestID, server string) *broker.Call {
-	r.do(cloverhook.Send{ID: id, Server: server})
+func (r *rig) send(id decision.RequestID, server string) *broker.Call {
+	r.do(decision.Send{ID: id, Server: server})
 	return <-r.sent
 }
 
-func done(status cloverhook.Status) broker.Reply {
-	return broker.Reply{Status: status, Load: cloverhook.NoLoad, Value: []byte("v")}
+func done(status decision.Status) broker.Reply {
+	return broker.Reply{Status: status, Load: decision.NoLoad, Value: []byte("v")}
 }
 
 func TestForbiddenSendsAreStopped(t *testing.T) {
@@ -138,35 +138,35 @@
 	_, part, _, _ := r.take("q", unsafe, 1, time.Second)
 	stopped := func(server string) {
 		t.Helper()
-		r.do(cloverhook.Send{ID: part, Server: server})
-		require.Equal(t, cloverhook.NotSent, event[cloverhook.Ended](r).Status)
+		r.do(decision.Send{ID: part, Server: server})
+		require.Equal(t, decision.NotSent, event[decision.Ended](r).Status)
 		require.Empty(t, r.sent)
 	}
 	stopped("unheard-of")
 	stopped("s0") // shard 1 is held by cells 1 and 2
-	r.send(part, "s2").Done(done(cloverhook.OK))
-	require.Equal(t, cloverhook.OK, event[cloverhook.Ended](r).Status)
+	r.send(part, "s2").Done(done(decision.OK))
+	require.Equal(t, decision.OK, event[decision.Ended](r).Status)
 }
 
 func TestUnsafePartsThatMayHaveRunAreNotSentAgain(t *testing.T) {
-	for status, again := range map[cloverhook.Status]bool{
-		cloverhook.Overloaded: true, cloverhook.Unreachable: true, cloverhook.NotSent: true,
-		cloverhook.Error: false, cloverhook.Reset: false, cloverhook.TimedOut: false,
+	for status, again := range map[decision.Status]bool{
+		decision.Overloaded: true, decision.Unreachable: true, decision.NotSent: true,
+		decision.Error: false, decision.Reset: false, decision.TimedOut: false,
 	} {
 		r := newRig(t)
 		q, part, c, _ := r.take("q", unsafe, 1, time.Second)
 		call := r.send(part, "s1")
 		require.True(t, call.Begin())
 		call.Done(done(status))
-		event[cloverhook.Ended](r)
-		r.do(cloverhook.Send{ID: part, Server: "s2"})
+		event[decision.Ended](r)
+		r.do(decision.Send{ID: part, Server: "s2"})
 		if again {
-			(<-r.sent).Done(done(cloverhook.Overloaded))
+			(<-r.sent).Done(done(decision.Overloaded))
 		}
-		event[cloverhook.Ended](r)
+		event[decision.Ended](r)
 		require.Empty(t, r.sent)
 		// Nor is such a query refused: that would tell the client that a repeat is harmless.
-		r.do(cloverhook.Refuse{ID: q, RetryAfter: 0.5})
+		r.do(decision.Refuse{ID: q, RetryAfter: 0.5})
 		want := broker.Result{Outcome: broker.Failed}
 		if again {
 			want = broker.Result{Outcome: broker.Refused, RetryAfter: 0.5}
@@ -179,14 +179,14 @@
 	r := newRig(t)
 	_, part, _, _ := r.take("q", safe, 1, time.Second)
 	call := r.send(part, "s1")
-	r.do(cloverhook.Send{ID: part, Server: "s2"}) // while one is out
-	require.Equal(t, cloverhook.NotSent, event[cloverhook.Ended](r).Status)
-	call.Done(done(cloverhook.Error))
-	event[cloverhook.Ended](r)
-	r.send(part, "s2").Done(done(cloverhook.Error))
-	event[cloverhook.Ended](r)
-	r.do(cloverhook.Send{ID: part, Server: "s1"}) // the fourth of three
-	require.Equal(t, cloverhook.NotSent, event[cloverhook.Ended](r).Status)
+	r.do(decision.Send{ID: part, Server: "s2"}) // while one is out
+	require.Equal(t, decision.NotSent, event[decision.Ended](r).Status)
+	call.Done(done(decision.Error))
+	event[decision.Ended](r)
+	r.send(part, "s2").Done(done(decision.Error))
+	event[decision.Ended](r)
+	r.do(decision.Send{ID: part, Server: "s1"}) // the fourth of three
+	require.Equal(t, decision.NotSent, event[decision.Ended](r).Status)
 	require.Empty(t, r.sent)
 }
 
@@ -194,14 +194,14 @@
 	r := newRig(t)
 	_, part, _, _ := r.take("q", safe, 1, time.Second)
 	waiting := r.send(part, "s1") // no connection yet when the list speaks
-	r.list(cloverhook.ListDelta, "s1", 1, cloverhook.Draining)
+	r.list(decision.ListDelta, "s1", 1, decision.Draining)
 	require.False(t, waiting.Begin())
-	require.Equal(t, cloverhook.NotSent, event[cloverhook.Ended](r).Status)
-	r.do(cloverhook.Send{ID: part, Server: "s1"})
-	require.Equal(t, cloverhook.NotSent, event[cloverhook.Ended](r).Status)
-	r.list(cloverhook.ListFull, "s1", 1, cloverhook.Ready) // back; those that a full list lacks are gone
-	r.do(cloverhook.Send{ID: part, Server: "s2"})
-	require.Equal(t, cloverhook.NotSent, event[cloverhook.Ended](r).Status)
+	require.Equal(t, decision.NotSent, event[decision.Ended](r).Status)
+	r.do(decision.Send{ID: part, Server: "s1"})
+	require.Equal(t, decision.NotSent, event[decision.Ended](r).Status)
+	r.list(decision.ListFull, "s1", 1, decision.Ready) // back; those that a full list lacks are gone
+	r.do(decision.Send{ID: part, Server: "s2"})
+	require.Equal(t, decision.NotSent, event[decision.Ended](r).Status)
 	require.Empty(t, r.sent)
 }
 
@@ -210,23 +210,23 @@
 	q, part, c, _ := r.take("q", safe, 1, time.Second)
 	old := r.send(part, "s1")
 	require.True(t, old.Begin())
-	r.do(cloverhook.Cancel{ID: part, Attempt: 0})
+	r.do(decision.Cancel{ID: part, Attempt: 0})
 	require.Equal(t, old, <-r.cancelled)
-	require.Equal(t, cloverhook.Cancelled, event[cloverhook.Ended](r).Status)
+	require.Equal(t, decision.Cancelled, event[decision.Ended](r).Status)
 	young := r.send(part, "s2")
-	old.Done(broker.Reply{Status: cloverhook.OK, Value: []byte("old")})
-	young.Done(broker.Reply{Status: cloverhook.OK, Value: []byte("new")})
-	require.Equal(t, 1, event[cloverhook.Ended](r).Attempt)
-	r.do(cloverhook.Answer{ID: q, Whole: true})
+	old.Done(broker.Reply{Status: decision.OK, Value: []byte("old")})
+	young.Done(broker.Reply{Status: decision.OK, Value: []byte("new")})
+	require.Equal(t, 1, event[decision.Ended](r).Attempt)
+	r.do(decision.Answer{ID: q, Whole: true})
 	require.Equal(t, broker.Result{Whole: true, Values: []broker.Value{{1, []byte("new")}}}, <-c)
 }
 
 func TestWhatWasNeverBegunCannotHaveRun(t *testing.T) {
 	r := newRig(t)
 	_, part, _, _ := r.take("q", unsafe, 1, time.Second)
-	r.do(cloverhook.Send{ID: part, Server: "s1", Timeout: 0.02})
+	r.do(decision.Send{ID: part, Server: "s1", Timeout: 0.02})
 	waiting := <-r.sent
-	require.Equal(t, cloverhook.NotSent, event[cloverhook.Ended](r).Status)
+	require.Equal(t, decision.NotSent, event[decision.Ended](r).Status)
 	require.False(t, waiting.Begin())
 	r.send(part, "s2")
 }
@@ -234,9 +234,9 @@
 func TestNoAnswerUnderTheFloor(t *testing.T) {
 	r := newRig(t)
 	q, part, c, _ := r.take("q", partial, 2, time.Second)
-	r.send(part, "s1").Done(done(cloverhook.OK))
-	event[cloverhook.Ended](r)
-	r.do(cloverhook.Answer{ID: q, Whole: true}) // half of it: the floor is 0.8
+	r.send(part, "s1").Done(done(decision.OK))
+	event[decision.Ended](r)
+	r.do(decision.Answer{ID: q, Whole: true}) // half of it: the floor is 0.8
 	require.Equal(t, broker.Result{Outcome: broker.Failed}, <-c)
 }
 
@@ -246,10 +246,10 @@
 		Parts: []broker.Part{{Shard: 1, Share: 0.85}, {Shard: 2, Share: 0.15}}}
 	c := make(client, 1)
 	r.b.Take(req, c)
-	q := event[cloverhook.Query](r)
-	r.send(event[cloverhook.Part](r).ID, "s1").Done(done(cloverhook.OK))
-	event[cloverhook.Ended](r)
-	r.do(cloverhook.Answer{ID: q.ID, Whole: true})
+	q := event[decision.Query](r)
+	r.send(event[decision.Part](r).ID, "s1").Done(done(decision.OK))
+	event[decision.Ended](r)
+	r.do(decision.Answer{ID: q.ID, Whole: true})
 	require.Equal(t, broker.Result{Values: []broker.Value{{1, []byte("v")}}}, <-c)
 }
 
@@ -258,8 +258,8 @@
 	q, _, c, req := r.take("q", safe, 1, 50*time.Millisecond)
 	require.Equal(t, broker.Overdue, (<-c).Outcome) // the Decider has forgotten it
 	require.Less(t, time.Since(req.Arrived), 50*time.Millisecond)
-	event[cloverhook.ClientGone](r)
-	r.do(cloverhook.Fail{ID: q}, cloverhook.Answer{ID: q}, cloverhook.Refuse{ID: q})
+	event[decision.ClientGone](r)
+	r.do(decision.Fail{ID: q}, decision.Answer{ID: q}, decision.Refuse{ID: q})
 	require.Empty(t, c)
 }
 
@@ -272,7 +272,7 @@
 	r.b.Take(&broker.Request{ID: "q2", Arrived: time.Now(), Patience: time.Second, Parts: make([]broker.Part, 2)}, more)
 	require.Equal(t, broker.Result{Outcome: broker.Refused, RetryAfter: 0.5}, <-more)
 	r.b.Leave(req)
-	event[cloverhook.ClientGone](r)
+	event[decision.ClientGone](r)
 	r.take("q", safe, 5, time.Second)
 	require.Empty(t, first)
 }
@@ -302,8 +302,8 @@
 	_, part, _, req := r.take("q", unsafe, 1, time.Second)
 	waiting := r.send(part, "s1")
 	r.b.Leave(req)
-	require.Equal(t, cloverhook.NotSent, event[cloverhook.Ended](r).Status)
-	event[cloverhook.ClientGone](r)
+	require.Equal(t, decision.NotSent, event[decision.Ended](r).Status)
+	event[decision.ClientGone](r)
 	require.False(t, waiting.Begin())
 	require.Same(t, waiting, <-r.cancelled)
 
@@ -312,18 +312,18 @@
 	waiting = r.send(part, "s1")
 	req.Left.Store(true) // the front knows; the loop is busy
 	require.False(t, waiting.Begin())
-	require.Equal(t, cloverhook.NotSent, event[cloverhook.Ended](r).Status)
-	r.do(cloverhook.Send{ID: part, Server: "s2"})
-	require.Equal(t, cloverhook.NotSent, event[cloverhook.Ended](r).Status)
+	require.Equal(t, decision.NotSent, event[decision.Ended](r).Status)
+	r.do(decision.Send{ID: part, Server: "s2"})
+	require.Equal(t, decision.NotSent, event[decision.Ended](r).Status)
 	require.Empty(t, r.sent)
 	r.b.Leave(req)
-	event[cloverhook.ClientGone](r)
+	event[decision.ClientGone](r)
 
 	gone := &broker.Request{ID: "q3", Arrived: time.Now(), Patience: time.Second, Parts: []broker.Part{{Shard: 1, Share: 1}}, Left: new(atomic.Bool)}
 	gone.Left.Store(true)
 	c := make(client, 1)
 	r.b.Take(gone, c)
-	r.list(cloverhook.ListDelta)
+	r.list(decision.ListDelta)
 	require.Empty(t, c)
 	require.Empty(t, r.events, "the Decider has not heard of it")
 }
@@ -333,9 +333,9 @@
 	r := newRig(t)
 	q, part, c, _ := r.take("q", safe, 1, time.Second)
 	waiting := r.send(part, "s1")
-	r.do(cloverhook.Refuse{ID: q, RetryAfter: 0.5})
+	r.do(decision.Refuse{ID: q, RetryAfter: 0.5})
 	require.Equal(t, broker.Refused, (<-c).Outcome)
-	require.Equal(t, cloverhook.NotSent, event[cloverhook.Ended](r).Status)
+	require.Equal(t, decision.NotSent, event[decision.Ended](r).Status)
 	require.False(t, waiting.Begin())
 }
 
@@ -345,19 +345,19 @@
 	_, part, _, _ := r.take("q", keyed, 1, 2*time.Second)
 	first := r.send(part, "s1")
 	require.True(t, first.Begin())
-	first.Done(done(cloverhook.Reset))
-	event[cloverhook.Ended](r)
+	first.Done(done(decision.Reset))
+	event[decision.Ended](r)
 	again := r.send(part, "s2") // within the window of 0.2 s
 	time.Sleep(220 * time.Millisecond)
 	require.False(t, again.Begin())
-	require.Equal(t, cloverhook.NotSent, event[cloverhook.Ended](r).Status)
-	r.do(cloverhook.Send{ID: part, Server: "s1"})
-	require.Equal(t, cloverhook.NotSent, event[cloverhook.Ended](r).Status)
+	require.Equal(t, decision.NotSent, event[decision.Ended](r).Status)
+	r.do(decision.Send{ID: part, Server: "s1"})
+	require.Equal(t, decision.NotSent, event[decision.Ended](r).Status)
 	require.Empty(t, r.sent)
 
 	_, part, _, _ = r.take("q2", keyed, 1, 2*time.Second)
-	r.send(part, "s1").Done(done(cloverhook.Unreachable)) // cannot have run: no window
-	event[cloverhook.Ended](r)
+	r.send(part, "s1").Done(done(decision.Unreachable)) // cannot have run: no window
+	event[decision.Ended](r)
 	time.Sleep(220 * time.Millisecond)
 	require.True(t, r.send(part, "s2").Begin())
 }
@@ -367,8 +367,8 @@
 func TestAllIsAnsweredByTheEnd(t *testing.T) {
 	r := newRig(t)
 	_, part, in, _ := r.take("q", partial, 1, 4*time.Second)
-	r.send(part, "s1").Done(done(cloverhook.OK))
-	event[cloverhook.Ended](r)
+	r.send(part, "s1").Done(done(decision.OK))
+	event[decision.Ended](r)
 	_, part, ran, _ := r.take("q2", unsafe, 1, 4*time.Second)
 	require.True(t, r.send(part, "s1").Begin())
 	end := time.Now().Add(100 * time.Millisecond)
@@ -397,27 +397,27 @@
 	loop := make(stuck)
 	r.b.Take(req, loop) // a second of its name
 	<-loop
-	go r.b.Update(broker.List{Mode: cloverhook.ListDelta, Servers: []broker.ListEntry{{Addr: "s1",
-		Server: cloverhook.Server{ID: "s1", Cell: 1, State: cloverhook.Draining}}}})
+	go r.b.Update(broker.List{Mode: decision.ListDelta, Servers: []broker.ListEntry{{Addr: "s1",
+		Server: decision.Server{ID: "s1", Cell: 1, State: decision.Draining}}}})
 	require.Eventually(t, waiting.Server.Leaving, time.Second, time.Millisecond)
 	require.False(t, waiting.Begin())
 	loop <- struct{}{}
-	require.Equal(t, cloverhook.NotSent, event[cloverhook.Ended](r).Status)
+	require.Equal(t, decision.NotSent, event[decision.Ended](r).Status)
 }
 
 // A probe that has waited for a connection is asked again like a call.
 func TestNoProbeToAServerThatLeaves(t *testing.T) {
 	r := newRig(t)
 	probes := make(chan *broker.Probe, 1)
-	r.b = broker.New(broker.Options{Settings: cloverhook.Settings{Cells: 4, Reach: 2}}, r.script, keeps{r.link, probes})
+	r.b = broker.New(broker.Options{Settings: decision.Settings{Cells: 4, Reach: 2}}, r.script, keeps{r.link, probes})
 	go r.b.Run(t.Context())
-	r.list(cloverhook.ListFull, "s0", 0, cloverhook.Ready, "s1", 1, cloverhook.Ready)
-	r.do(cloverhook.Probe{Server: "s0"}, cloverhook.Probe{Server: "s1"})
+	r.list(decision.ListFull, "s0", 0, decision.Ready, "s1", 1, decision.Ready)
+	r.do(decision.Probe{Server: "s0"}, decision.Probe{Server: "s1"})
 	stays, leaves := <-probes, <-probes
-	r.list(cloverhook.ListDelta, "s1", 1, cloverhook.Draining)
+	r.list(decision.ListDelta, "s1", 1, decision.Draining)
 	require.True(t, stays.Begin())
 	require.False(t, leaves.Begin())
-	require.Equal(t, cloverhook.NotSent, event[cloverhook.Probed](r).Status)
+	require.Equal(t, decision.NotSent, event[decision.Probed](r).Status)
 }
 
 type keeps struct {
--- a/internal/broker/call.go
+++ b/internal/broker/call.go
@@ -4,7 +4,7 @@
 	"sync/atomic"
 	"time"
 
-	"cloverhook"
+	"mothrouter/internal/decision"
 )
 
 // Server is a record server as a link sees it.
@@ -21,11 +21,11 @@
 
 // book counts failures in a row. The counts tell operators what the Decider most likely avoids; nothing is decided
 // by them.
-func (s *Server) book(status cloverhook.Status) {
+func (s *Server) book(status decision.Status) {
 	switch status {
-	case cloverhook.OK:
+	case decision.OK:
 		s.failures.Store(0)
-	case cloverhook.Error, cloverhook.Reset, cloverhook.Unreachable, cloverhook.TimedOut:
+	case decision.Error, decision.Reset, decision.Unreachable, decision.TimedOut:
 		s.failures.Add(1)
 		s.failed.Store(time.Now().UnixNano())
 	}
@@ -42,8 +42,8 @@
 
 // Reply is how a call ended, as the link saw it.
 type Reply struct {
-	Status cloverhook.Status
-	Load   cloverhook.Load
+	Status decision.Status
+	Load   decision.Load
 	Value  []byte // of a served part; must outlive the call
 }
 
@@ -79,7 +79,7 @@
 // to the core.
 func (c *Call) Begin() bool {
 	if c.Server.Leaving() || c.pt.q.req.gone() || !time.Now().Before(c.begin) {
-		c.Done(Reply{Status: cloverhook.NotSent, Load: cloverhook.NoLoad})
+		c.Done(Reply{Status: decision.NotSent, Load: decision.NoLoad})
 		return false
 	}
 	return c.state.CompareAndSwap(callWaiting, callBegun)
@@ -100,7 +100,7 @@
 }
 
 // send starts an attempt, if the rules allow it.
-func (b *Broker) send(a cloverhook.Send) {
+func (b *Broker) send(a decision.Send) {
 	pt := b.parts[a.ID]
 	if pt == nil {
 		return // its query has ended and nothing of it is out
@@ -110,15 +110,15 @@
 	s := b.servers.get(a.Server)
 	if why := b.forbids(pt, s); why != "" {
 		b.log.Warn("a send was stopped", "why", why, "server", a.Server, "query", pt.q.req.ID)
-		b.tell(cloverhook.Ended{
-			ID: pt.id, Attempt: c.number, Server: a.Server, Status: cloverhook.NotSent,
-			Closed: pt.in || pt.over, Load: cloverhook.NoLoad,
+		b.tell(decision.Ended{
+			ID: pt.id, Attempt: c.number, Server: a.Server, Status: decision.NotSent,
+			Closed: pt.in || pt.over, Load: decision.NoLoad,
 		})
 		return
 	}
 	q := pt.q
 	c.Query, c.Shard, c.Class, c.Text = q.req.ID, pt.Shard, q.req.Class, q.req.Text
-	c.Unsafe = q.class.Repeat == cloverhook.RepeatUnsafe
+	c.Unsafe = q.class.Repeat == decision.RepeatUnsafe
 	c.Server, c.Addr = s, s.Addr
 	c.Deadline = q.deadline
 	if t := time.Now().Add(seconds(a.Timeout)); a.Timeout > 0 && t.Before(c.Deadline) {
@@ -129,7 +129,7 @@
 		c.begin = pt.until
 	}
 	pt.live = c
-	c.stop = b.after(time.Until(c.Deadline), func() { b.giveUp(c, cloverhook.TimedOut) })
+	c.stop = b.after(time.Until(c.Deadline), func() { b.giveUp(c, decision.TimedOut) })
 	b.link.Send(c)
 }
 
@@ -143,7 +143,7 @@
 		return "an attempt of the part is out"
 	case set.MaxAttempts > 0 && pt.attempts > set.MaxAttempts:
 		return "the part has had all its attempts"
-	case pt.mayRun && pt.q.class.Repeat == cloverhook.RepeatUnsafe:
+	case pt.mayRun && pt.q.class.Repeat == decision.RepeatUnsafe:
 		return "the part may have run and must not run twice"
 	case !pt.until.IsZero() && !time.Now().Before(pt.until):
 		return "the part may have run and its window for repeats is over"
@@ -160,7 +160,7 @@
 }
 
 // holds tells whether the servers of a cell hold a shard.
-func holds(set *cloverhook.Settings, cell, shard int) bool {
+func holds(set *decision.Settings, cell, shard int) bool {
 	if set.Cells <= 0 {
 		return true
 	}
@@ -169,15 +169,15 @@
 }
 
 // giveUp ends the wait for a call. One whose first byte was never written cannot have run.
-func (b *Broker) giveUp(c *Call, status cloverhook.Status) {
+func (b *Broker) giveUp(c *Call, status decision.Status) {
 	switch c.state.Swap(callOver) {
 	case callOver:
 		return // its end is on the way here
 	case callWaiting:
-		status = cloverhook.NotSent
+		status = decision.NotSent
 	}
 	b.link.Cancel(c)
-	b.ended(c, Reply{Status: status, Load: cloverhook.NoLoad})
+	b.ended(c, Reply{Status: status, Load: decision.NoLoad})
 }
 
 // ended books the end of a call and tells the Decider.
@@ -187,21 +187,21 @@
 	c.Server.book(r.Status)
 	pt.live = nil
 	switch r.Status {
-	case cloverhook.Overloaded, cloverhook.Unreachable, cloverhook.NotSent:
+	case decision.Overloaded, decision.Unreachable, decision.NotSent:
 	default:
 		// Where servers drop repeats, they do so for a time from the first attempt that may have run.
-		if class := &pt.q.class; !pt.mayRun && class.Repeat == cloverhook.RepeatKeyed {
+		if class := &pt.q.class; !pt.mayRun && class.Repeat == decision.RepeatKeyed {
 			pt.until = time.Now().Add(b.clock.until(c.sent + class.RepeatWindow - windowLead))
 		}
 		pt.mayRun = true
 	}
-	if r.Status == cloverhook.OK && !pt.over {
+	if r.Status == decision.OK && !pt.over {
 		pt.in, pt.value = true, r.Value
 	}
 	if pt.over {
 		delete(b.parts, pt.id)
 	}
-	b.tell(cloverhook.Ended{
+	b.tell(decision.Ended{
 		ID: pt.id, Attempt: c.number, Server: c.Server.ID, Status: r.Status,
 		Latency: b.clock.now() - c.sent, Closed: pt.in || pt.over, Load: r.Load,
 	})
@@ -230,7 +230,7 @@
 // Begin is asked just before the first byte of a probe is written, as for a call.
 func (p *Probe) Begin() bool {
 	if p.Server.Leaving() || !time.Now().Before(p.Deadline) {
-		p.Done(Reply{Status: cloverhook.NotSent, Load: cloverhook.NoLoad})
+		p.Done(Reply{Status: decision.NotSent, Load: decision.NoLoad})
 	}
 	return !p.over.Load()
 }
@@ -241,12 +241,12 @@
 		return
 	}
 	p := &Probe{
-		b: b, Server: s, Addr: s.Addr, Load: b.opt.Settings.ReportMode != cloverhook.ReportNone,
+		b: b, Server: s, Addr: s.Addr, Load: b.opt.Settings.ReportMode != decision.ReportNone,
 		sent: b.clock.now(), Deadline: time.Now().Add(b.opt.ProbeFor),
 	}
 	p.stop = b.after(b.opt.ProbeFor, func() {
 		if !p.over.Swap(true) {
-			b.probed(p, Reply{Status: cloverhook.TimedOut, Load: cloverhook.NoLoad})
+			b.probed(p, Reply{Status: decision.TimedOut, Load: decision.NoLoad})
 		}
 	})
 	b.link.Probe(p)
@@ -254,7 +254,7 @@
 
 func (b *Broker) probed(p *Probe, r Reply) {
 	p.stop()
-	b.tell(cloverhook.Probed{
+	b.tell(decision.Probed{
 		Server: p.Server.ID, Status: r.Status, Latency: b.clock.now() - p.sent, Load: r.Load,
 	})
 }
--- a/internal/broker/list.go
+++ b/internal/broker/list.go
@@ -4,18 +4,18 @@
 	"sync"
 	"time"
 
-	"cloverhook"
+	"mothrouter/internal/decision"
 )
 
 // ListEntry is one record server of the list.
 type ListEntry struct {
-	cloverhook.Server
+	decision.Server
 	Addr string
 }
 
 // List is news of the server list.
 type List struct {
-	Mode    cloverhook.ListMode
+	Mode    decision.ListMode
 	Version int64
 	Servers []ListEntry
 }
@@ -37,12 +37,12 @@
 func (s *Servers) Apply(l List) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if l.Mode == cloverhook.ListFull || l.Mode == cloverhook.ListCached {
+	if l.Mode == decision.ListFull || l.Mode == decision.ListCached {
 		clear(s.leaves)
 	}
 	ready := map[string]bool{}
 	for id := range s.byID { // of a whole list, those that it lacks are gone
-		ready[id] = l.Mode != cloverhook.ListFull && l.Mode != cloverhook.ListCached
+		ready[id] = l.Mode != decision.ListFull && l.Mode != decision.ListCached
 	}
 	for _, n := range l.Servers {
 		old := s.byID[n.ID]
@@ -52,8 +52,8 @@
 			}
 			s.byID[n.ID] = &Server{ID: n.ID, Addr: n.Addr, Cell: n.Cell}
 		}
-		ready[n.ID] = n.State == cloverhook.Ready
-		if delete(s.leaves, n.ID); n.State == cloverhook.Draining {
+		ready[n.ID] = n.State == decision.Ready
+		if delete(s.leaves, n.ID); n.State == decision.Draining {
 			s.leaves[n.ID] = true
 		}
 	}
@@ -118,8 +118,8 @@
 }
 
 // Event is the list in the Decider's terms.
-func (l List) Event() cloverhook.List {
-	e := cloverhook.List{Mode: l.Mode, Version: l.Version}
+func (l List) Event() decision.List {
+	e := decision.List{Mode: l.Mode, Version: l.Version}
 	for _, n := range l.Servers {
 		e.Servers = append(e.Servers, n.Server)
 	}
--- a/internal/broker/query.go
+++ b/internal/broker/query.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"cloverhook"
+	"mothrouter/internal/decision"
 )
 
 // sumSlack is the rounding of shares; the rules allow 0.0001.
@@ -38,8 +38,8 @@
 type query struct {
 	req      *Request
 	client   Client
-	id       cloverhook.RequestID
-	class    cloverhook.Class
+	id       decision.RequestID
+	class    decision.Class
 	parts    []*part
 	deadline time.Time
 	stop     func() // the deadline's timer
@@ -47,7 +47,7 @@
 
 type part struct {
 	Part
-	id       cloverhook.RequestID
+	id       decision.RequestID
 	q        *query
 	attempts int
 	live     *Call
@@ -76,7 +76,7 @@
 			if c, ok := q.client.(Leaver); ok {
 				c.Left()
 			}
-			b.tell(cloverhook.ClientGone{ID: q.id})
+			b.tell(decision.ClientGone{ID: q.id})
 		}
 	})
 }
@@ -115,13 +115,13 @@
 		work += p.Work
 	}
 	b.guard(q)
-	b.tell(cloverhook.Query{
+	b.tell(decision.Query{
 		ID: q.id, Number: int64(q.id), Class: r.Class, Parts: len(r.Parts),
 		Deadline: b.clock.at(q.deadline), Retry: r.Retry, Work: work,
 		Came: b.clock.at(r.Arrived),
 	})
 	for _, pt := range q.parts {
-		b.tell(cloverhook.Part{
+		b.tell(decision.Part{
 			ID: pt.id, Number: int64(q.id), Shard: pt.Shard, Weight: pt.Share, Key: pt.Route, Work: pt.Work,
 		})
 	}
@@ -136,7 +136,7 @@
 			last = q.lastWord(b.advice())
 		}
 		b.finish(q, last)
-		b.tell(cloverhook.ClientGone{ID: q.id})
+		b.tell(decision.ClientGone{ID: q.id})
 	})
 }
 
@@ -155,7 +155,7 @@
 	})
 }
 
-func (b *Broker) nextID() cloverhook.RequestID {
+func (b *Broker) nextID() decision.RequestID {
 	b.lastID++
 	return b.lastID
 }
@@ -191,7 +191,7 @@
 			// Guards against an attempt that still waits for a connection and would begin for nobody: whether or not
 			// cancels are allowed, nothing of it has gone out.
 			b.link.Cancel(pt.live)
-			b.ended(pt.live, Reply{Status: cloverhook.NotSent, Load: cloverhook.NoLoad})
+			b.ended(pt.live, Reply{Status: decision.NotSent, Load: decision.NoLoad})
 		}
 	}
 }
@@ -227,7 +227,7 @@
 	ran := slices.ContainsFunc(q.parts, func(pt *part) bool {
 		return pt.mayRun || pt.in || pt.live != nil && pt.live.begun()
 	})
-	if ran && q.class.Repeat != cloverhook.RepeatSafe {
+	if ran && q.class.Repeat != decision.RepeatSafe {
 		return Result{Outcome: Failed}
 	}
 	return Result{Outcome: Refused, RetryAfter: retryAfter}
--- a/internal/checkpoint/checkpoint.go
+++ b/internal/checkpoint/checkpoint.go
@@ -18,9 +18,9 @@
 
 	"github.com/google/renameio/v2"
 
-	"cloverhook"
-	"cloverhook/internal/recovery"
-	"cloverhook/internal/snapshot"
+	"mothrouter/internal/decision"
+	"mothrouter/internal/recovery"
+	"mothrouter/internal/snapshot"
 )
 
 // Names of the files in the folder.
@@ -220,36 +220,36 @@
 }
 
 // Watch wraps a Decider: what it sees is learned, and what the process before knew is told to it with its first list.
-func (k *Saver) Watch(d cloverhook.Decider) cloverhook.Decider { return &watch{k: k, inner: d} }
+func (k *Saver) Watch(d decision.Decider) decision.Decider { return &watch{k: k, inner: d} }
 
 type watch struct {
 	k     *Saver
-	inner cloverhook.Decider
+	inner decision.Decider
 	told  bool
 }
 
-// Handle implements cloverhook.Decider.
-func (w *watch) Handle(now float64, events []cloverhook.Event) []cloverhook.Action {
+// Handle implements decision.Decider.
+func (w *watch) Handle(now float64, events []decision.Event) []decision.Action {
 	return w.inner.Handle(now, w.k.see(now, events, &w.told))
 }
 
 // see learns of the events, and adds what was remembered to the first list.
-func (k *Saver) see(now float64, events []cloverhook.Event, told *bool) []cloverhook.Event {
+func (k *Saver) see(now float64, events []decision.Event, told *bool) []decision.Event {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, e := range events {
 		switch e := e.(type) {
-		case cloverhook.List:
+		case decision.List:
 			k.learner.List(e)
 			if !*told && len(e.Servers) > 0 && k.found != nil {
 				*told = true
 				events = append(events, recovery.Restore(k.found, e.Servers, now)...)
 			}
-		case cloverhook.Ended:
+		case decision.Ended:
 			k.learner.Saw(now, e.Server, e.Status, e.Latency, e.Load)
-		case cloverhook.Probed:
-			if e.Status != cloverhook.OK || e.Load != cloverhook.NoLoad {
-				k.learner.Saw(now, e.Server, cloverhook.NotSent, 0, e.Load)
+		case decision.Probed:
+			if e.Status != decision.OK || e.Load != decision.NoLoad {
+				k.learner.Saw(now, e.Server, decision.NotSent, 0, e.Load)
 			}
 		}
 	}
--- a/internal/checkpoint/checkpoint_test.go
+++ b/internal/checkpoint/checkpoint_test.go
@@ -18,8 +18,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"cloverhook"
-	"cloverhook/internal/snapshot"
+	"mothrouter/internal/decision"
+	"mothrouter/internal/snapshot"
 )
 
 // TestMain is also the process that is killed: one that does nothing but save, as fast as it can.
@@ -38,12 +38,12 @@
 func teach(k *Saver, servers int) {
 	w := k.Watch(deaf{})
 	now := float64(time.Now().UnixNano()) / 1e9
-	l := cloverhook.List{Mode: cloverhook.ListFull}
-	events := []cloverhook.Event{nil}
+	l := decision.List{Mode: decision.ListFull}
+	events := []decision.Event{nil}
 	for i := range servers {
 		id := fmt.Sprintf("s-%08x", i)
-		l.Servers = append(l.Servers, cloverhook.Server{ID: id})
-		events = append(events, cloverhook.Ended{Server: id, Latency: 0.01, Load: cloverhook.Load{Busy: 0.5}})
+		l.Servers = append(l.Servers, decision.Server{ID: id})
+		events = append(events, decision.Ended{Server: id, Latency: 0.01, Load: decision.Load{Busy: 0.5}})
 	}
 	events[0] = l
 	w.Handle(now, events)
@@ -51,7 +51,7 @@
 
 type deaf struct{}
 
-func (deaf) Handle(float64, []cloverhook.Event) []cloverhook.Action { return nil }
+func (deaf) Handle(float64, []decision.Event) []decision.Action { return nil }
 
 type text struct {
 	mu sync.Mutex
@@ -93,23 +93,23 @@
 	require.Len(t, k.found.Servers, 40)
 	require.Equal(t, 1, out.count("is taken up"))
 	var heard int
-	w := k.Watch(listener(func(events []cloverhook.Event) {
+	w := k.Watch(listener(func(events []decision.Event) {
 		for _, e := range events {
-			if h, ok := e.(cloverhook.Heard); ok && h.Load.Busy == 0.5 {
+			if h, ok := e.(decision.Heard); ok && h.Load.Busy == 0.5 {
 				heard++
 			}
 		}
 	}))
-	list := cloverhook.List{Mode: cloverhook.ListCached, Servers: []cloverhook.Server{{ID: "s-00000001"}, {ID: "s-00000002", Started: 5}}}
+	list := decision.List{Mode: decision.ListCached, Servers: []decision.Server{{ID: "s-00000001"}, {ID: "s-00000002", Started: 5}}}
 	for range 2 {
-		w.Handle(k.now(), []cloverhook.Event{list})
+		w.Handle(k.now(), []decision.Event{list})
 	}
 	require.Equal(t, 1, heard, "once, and of the same process only")
 }
 
-type listener func([]cloverhook.Event)
+type listener func([]decision.Event)
 
-func (l listener) Handle(_ float64, events []cloverhook.Event) []cloverhook.Action {
+func (l listener) Handle(_ float64, events []decision.Event) []decision.Action {
 	l(events)
 	return nil
 }
@@ -336,7 +336,7 @@
 	k, _ := open(b.TempDir(), nil)
 	teach(k, 200)
 	w := k.Watch(deaf{})
-	events := []cloverhook.Event{cloverhook.Ended{Server: "s-00000001", Latency: 0.01, Load: cloverhook.Load{Busy: 0.5}}}
+	events := []decision.Event{decision.Ended{Server: "s-00000001", Latency: 0.01, Load: decision.Load{Busy: 0.5}}}
 	b.ReportAllocs()
 	for i := range b.N {
 		w.Handle(float64(i)/1000, events)
--- a/internal/checkpoint/restart_test.go
+++ b/internal/checkpoint/restart_test.go
@@ -17,10 +17,10 @@
 	"gonum.org/v1/gonum/stat"
 	"gonum.org/v1/gonum/stat/distuv"
 
-	"cloverhook"
-	"cloverhook/internal/broker"
-	"cloverhook/internal/standin"
-	"cloverhook/internal/upstream"
+	"mothrouter/internal/broker"
+	"mothrouter/internal/decision"
+	"mothrouter/internal/standin"
+	"mothrouter/internal/upstream"
 )
 
 var measureSeeds = flag.Int("measure", 0, "seeds of the measurement of restarts, blank against restored; 0: only a small one that is checked")
@@ -31,11 +31,11 @@
 	restartRate    = 60 // queries a second, of four parts each that must not run twice: thin traffic, and each bad server met costs a query
 )
 
-var restartSettings = cloverhook.Settings{
-	Cells: restartServers, Reach: 2, MaxAttempts: 4, MayCancel: true, Brokers: 2, ReportMode: cloverhook.ReportPiggyback,
+var restartSettings = decision.Settings{
+	Cells: restartServers, Reach: 2, MaxAttempts: 4, MayCancel: true, Brokers: 2, ReportMode: decision.ReportPiggyback,
 	Tick: 0.005, ColdShare: 0.2, WarmUp: 8, FallMultiple: 2.5, FallTime: 1.5,
-	Classes: []cloverhook.Class{{Aim: restartAim, Deadline: 0.4, Worth: 1, Need: 1, Floor: 1},
-		{Aim: restartAim, Deadline: 0.4, Worth: 2, Need: 1, Floor: 1, Repeat: cloverhook.RepeatUnsafe}},
+	Classes: []decision.Class{{Aim: restartAim, Deadline: 0.4, Worth: 1, Need: 1, Floor: 1},
+		{Aim: restartAim, Deadline: 0.4, Worth: 2, Need: 1, Floor: 1, Repeat: decision.RepeatUnsafe}},
 }
 
 type reply chan broker.Result
@@ -48,9 +48,9 @@
 	defer cancel()
 	link := upstream.New(ctx, upstream.Options{Streams: 100, Idle: 15 * time.Second, ConnectTimeout: 250 * time.Millisecond})
 	b := broker.New(broker.Options{Settings: restartSettings, Log: slog.New(slog.NewTextHandler(io.Discard, nil))},
-		k.Watch(cloverhook.New(restartSettings, seed)), link)
+		k.Watch(decision.New(restartSettings, seed)), link)
 	go b.Run(ctx)
-	b.Update(broker.List{Mode: cloverhook.ListCached, Servers: fleet.Entries()})
+	b.Update(broker.List{Mode: decision.ListCached, Servers: fleet.Entries()})
 	const bin = 100 * time.Millisecond
 	asked, served := make([]float64, d/bin+1), make([]float64, d/bin+1)
 	var mu sync.Mutex
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -12,11 +12,11 @@
 	"strconv"
 	"time"
 
-	"cloverhook"
-	"cloverhook/internal/broker"
-	"cloverhook/internal/control"
-	"cloverhook/internal/discovery"
-	"cloverhook/internal/wire"
+	"mothrouter/internal/broker"
+	"mothrouter/internal/control"
+	"mothrouter/internal/decision"
+	"mothrouter/internal/discovery"
+	"mothrouter/internal/wire"
 )
 
 // Config is all that a broker is told.
@@ -35,7 +35,7 @@
 	ServerConns int // connections to record servers held at most
 	Buffers     int // bytes of requests held at most
 
-	Settings cloverhook.Settings
+	Settings decision.Settings
 	Classes  map[string]int // class by name
 	Names    discovery.Names
 	Known    broker.List // the list as last known
@@ -203,7 +203,7 @@
 		}
 		c.Version = f.Known.Version
 	}
-	c.Known.Mode = cloverhook.ListCached
+	c.Known.Mode = decision.ListCached
 	return c, nil
 }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -12,10 +12,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"cloverhook"
-	"cloverhook/internal/broker"
-	"cloverhook/internal/config"
-	"cloverhook/internal/drain"
+	"mothrouter/internal/broker"
+	"mothrouter/internal/config"
+	"mothrouter/internal/decision"
+	"mothrouter/internal/drain"
 )
 
 const good = `{"name":"n3","listen":"127.0.0.1:8443","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
@@ -44,8 +44,8 @@
 		[]any{c.Name, c.Listen, c.Discovery, c.Seed, c.MemoryMB, c.Sockets})
 	require.Equal(t, []any{9, 8, 7, 3 * time.Second, 500 * time.Millisecond, map[string]int{"c": 0}, int64(41)},
 		[]any{c.OpenCap, c.Shards, c.Streams, c.ConnIdle, c.ConnectTimeout, c.Classes, c.Version})
-	require.Equal(t, cloverhook.ListCached, c.Known.Mode)
-	require.Equal(t, cloverhook.Server{ID: "s1", Zone: 1, Cell: 3, State: cloverhook.Draining, Capacity: 1.5, Started: 2.5},
+	require.Equal(t, decision.ListCached, c.Known.Mode)
+	require.Equal(t, decision.Server{ID: "s1", Zone: 1, Cell: 3, State: decision.Draining, Capacity: 1.5, Started: 2.5},
 		c.Known.Servers[0].Server)
 	require.Equal(t, []time.Duration{2 * time.Second}, c.Patience())
 }
@@ -251,23 +251,23 @@
 
 func (okLink) Send(c *broker.Call) {
 	if c.Begin() {
-		c.Done(broker.Reply{Status: cloverhook.OK, Load: cloverhook.NoLoad, Value: []byte("v")})
+		c.Done(broker.Reply{Status: decision.OK, Load: decision.NoLoad, Value: []byte("v")})
 	}
 }
 func (okLink) Cancel(*broker.Call)   {}
-func (okLink) Probe(p *broker.Probe) { p.Done(broker.Reply{Load: cloverhook.NoLoad}) }
+func (okLink) Probe(p *broker.Probe) { p.Done(broker.Reply{Load: decision.NoLoad}) }
 
 type result chan broker.Result
 
 func (r result) Finish(x broker.Result) { r <- x }
 
 func serves(t *testing.T, c *config.Config, what string) {
-	b := broker.New(broker.Options{Settings: c.Settings, OpenCap: c.OpenCap}, cloverhook.New(c.Settings, 1), okLink{})
+	b := broker.New(broker.Options{Settings: c.Settings, OpenCap: c.OpenCap}, decision.New(c.Settings, 1), okLink{})
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go b.Run(ctx)
-	b.Update(broker.List{Mode: cloverhook.ListFull, Servers: []broker.ListEntry{
-		{Addr: "a", Server: cloverhook.Server{ID: "a", Started: float64(time.Now().Unix())}}, {Addr: "b", Server: cloverhook.Server{ID: "b", Cell: 1}}}})
+	b.Update(broker.List{Mode: decision.ListFull, Servers: []broker.ListEntry{
+		{Addr: "a", Server: decision.Server{ID: "a", Started: float64(time.Now().Unix())}}, {Addr: "b", Server: decision.Server{ID: "b", Cell: 1}}}})
 	answer := make(result, 1)
 	b.Take(&broker.Request{ID: "q", Arrived: time.Now(), Patience: 300 * time.Millisecond, Parts: []broker.Part{{Shard: 1, Share: 1}}}, answer)
 	select {
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -6,7 +6,7 @@
 
 	"github.com/BurntSushi/toml"
 
-	"cloverhook/internal/plane"
+	"mothrouter/internal/plane"
 )
 
 // Fleet is the file that switches the plane between brokers on.
--- a/internal/config/state.go
+++ b/internal/config/state.go
@@ -7,7 +7,7 @@
 
 	"github.com/BurntSushi/toml"
 
-	"cloverhook/internal/snapshot"
+	"mothrouter/internal/snapshot"
 )
 
 // State is the file that has learned state last over restarts.
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"cloverhook/internal/control"
+	"mothrouter/internal/control"
 )
 
 func TestMachine(t *testing.T) {
--- a/internal/cores/bench_test.go
+++ b/internal/cores/bench_test.go
@@ -4,13 +4,13 @@
 	"fmt"
 	"testing"
 
-	"cloverhook"
+	"mothrouter/internal/decision"
 )
 
 // nothing decides nothing, so that what is left is the cost of sharing.
 type nothing struct{}
 
-func (nothing) Handle(float64, []cloverhook.Event) []cloverhook.Action { return nil }
+func (nothing) Handle(float64, []decision.Event) []decision.Action { return nil }
 
 // BenchmarkShare is what one outcome costs beside its decision, with 200 servers, of which some are cold.
 func BenchmarkShare(b *testing.B) {
@@ -18,9 +18,9 @@
 		for _, cold := range []int{0, 20} {
 			b.Run(fmt.Sprintf("workers=%d/cold=%d", workers, cold), func(b *testing.B) {
 				s := newShare(workers, settings(200, 1e9), 1)
-				l := cloverhook.List{Mode: cloverhook.ListFull}
+				l := decision.List{Mode: decision.ListFull}
 				for i := range 200 {
-					e := cloverhook.Server{ID: fmt.Sprint("s", i), Cell: i}
+					e := decision.Server{ID: fmt.Sprint("s", i), Cell: i}
 					if i < cold {
 						e.Started = 99
 					}
@@ -31,12 +31,12 @@
 				for w := range ds {
 					ds[w] = &sharer{share: s, worker: w, inner: nothing{}}
 				}
-				events := make([]cloverhook.Event, 1)
+				events := make([]decision.Event, 1)
 				b.ReportAllocs()
 				for i := range b.N {
 					now := 100 + 0.0001*float64(i)
-					events[0] = cloverhook.Ended{Server: l.Servers[i%200].ID, Status: cloverhook.OK, Latency: 0.02,
-						Load: cloverhook.Load{Busy: 0.5}}
+					events[0] = decision.Ended{Server: l.Servers[i%200].ID, Status: decision.OK, Latency: 0.02,
+						Load: decision.Load{Busy: 0.5}}
 					ds[i%workers].Handle(now, events)
 				}
 			})
--- a/internal/cores/cores.go
+++ b/internal/cores/cores.go
@@ -12,10 +12,10 @@
 	"sync/atomic"
 	"time"
 
-	"cloverhook"
-	"cloverhook/internal/broker"
-	"cloverhook/internal/lease"
-	"cloverhook/internal/placement"
+	"mothrouter/internal/broker"
+	"mothrouter/internal/decision"
+	"mothrouter/internal/lease"
+	"mothrouter/internal/placement"
 )
 
 // tellWait is how long Update waits for a worker that is busy. Links know of a drain before any worker does.
@@ -24,12 +24,12 @@
 // Options are what a Group needs.
 type Options struct {
 	Workers  int
-	Settings cloverhook.Settings
+	Settings decision.Settings
 	OpenCap  int // queries and parts held by all workers together; 0: no limit
 	Seed     uint64
 	Log      *slog.Logger
 	// Decider makes a worker's Decider; nil: the module's.
-	Decider func(worker int, set cloverhook.Settings, seed uint64) cloverhook.Decider
+	Decider func(worker int, set decision.Settings, seed uint64) decision.Decider
 }
 
 // Group is the workers. To fronts it is one core.
@@ -59,8 +59,8 @@
 		opt.Log = slog.Default()
 	}
 	if opt.Decider == nil {
-		opt.Decider = func(_ int, set cloverhook.Settings, seed uint64) cloverhook.Decider {
-			return cloverhook.New(set, seed)
+		opt.Decider = func(_ int, set decision.Settings, seed uint64) decision.Decider {
+			return decision.New(set, seed)
 		}
 	}
 	n := max(opt.Workers, 1)
@@ -193,8 +193,8 @@
 }
 
 // Tell hands each worker's Decider an event of a part that runs beside them.
-func (g *Group) Tell(e cloverhook.Event) {
-	if f, ok := e.(cloverhook.Fleet); ok {
+func (g *Group) Tell(e decision.Event) {
+	if f, ok := e.(decision.Fleet); ok {
 		g.share.resize(f.Brokers)
 	}
 	for _, w := range g.workers {
--- a/internal/cores/cores_test.go
+++ b/internal/cores/cores_test.go
@@ -14,10 +14,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"cloverhook"
-	"cloverhook/internal/broker"
-	"cloverhook/internal/standin"
-	"cloverhook/internal/upstream"
+	"mothrouter/internal/broker"
+	"mothrouter/internal/decision"
+	"mothrouter/internal/standin"
+	"mothrouter/internal/upstream"
 )
 
 // rig is a group of workers on loopback record servers that check the rules.
@@ -32,7 +32,7 @@
 	workers, servers, conns, openCap int
 	work                             time.Duration
 	warmUp                           float64
-	decider                          func(int, cloverhook.Settings, uint64) cloverhook.Decider
+	decider                          func(int, decision.Settings, uint64) decision.Decider
 }
 
 const (
@@ -41,14 +41,14 @@
 	report
 )
 
-func settings(servers int, warmUp float64) cloverhook.Settings {
-	return cloverhook.Settings{
+func settings(servers int, warmUp float64) decision.Settings {
+	return decision.Settings{
 		Cells: servers, Reach: 2, MaxAttempts: 4, MayCancel: true, RetryAfter: true, MaxWait: 0.5, Brokers: 1,
-		ReportMode: cloverhook.ReportPiggyback, Tick: 0.005,
+		ReportMode: decision.ReportPiggyback, Tick: 0.005,
 		ColdShare: 0.2, WarmUp: warmUp, FallMultiple: 2.5, FallTime: 1.5,
-		Classes: []cloverhook.Class{
+		Classes: []decision.Class{
 			{Aim: 1, Deadline: 2, Worth: 1, Need: 1, Floor: 1},
-			{Aim: 1, Deadline: 2, Worth: 2, Need: 1, Floor: 1, Repeat: cloverhook.RepeatUnsafe},
+			{Aim: 1, Deadline: 2, Worth: 2, Need: 1, Floor: 1, Repeat: decision.RepeatUnsafe},
 			{Aim: 1, Deadline: 2, Worth: 3, Need: 1, Floor: 0.8, LateWorth: 0.1}},
 	}
 }
@@ -78,7 +78,7 @@
 		defer r.share.mu.Unlock()
 		require.Zero(t, r.share.over, "parts were sent to a cold server beyond a lease")
 	})
-	r.Update(broker.List{Mode: cloverhook.ListCached, Servers: fleet.Entries()})
+	r.Update(broker.List{Mode: decision.ListCached, Servers: fleet.Entries()})
 	return r
 }
 
@@ -178,7 +178,7 @@
 	for range 1000 { // so many that one slow answer, on a machine that does much else, is long forgotten at the end
 		require.Equal(t, broker.Answered, r.ask(r.request(usage, 0, 1), 1).Outcome)
 		r.share.mu.Lock() // worker 0 tells of a connection of its own that breaks, again and again
-		r.share.see(0, r.now(), s.ID, cloverhook.Reset, 0.001, cloverhook.NoLoad)
+		r.share.see(0, r.now(), s.ID, decision.Reset, 0.001, decision.NoLoad)
 		r.share.mu.Unlock()
 	}
 	require.Greater(t, s.Arrived()-from, 200, "of 1000 parts that two servers hold")
@@ -198,7 +198,7 @@
 		}
 		fresh := r.fleet.Servers[2]
 		fresh.Restart()
-		r.Update(broker.List{Mode: cloverhook.ListDelta, Version: 1, Servers: []broker.ListEntry{fresh.Entry(cloverhook.Ready)}})
+		r.Update(broker.List{Mode: decision.ListDelta, Version: 1, Servers: []broker.ListEntry{fresh.Entry(decision.Ready)}})
 		ends := r.load(8, 1600*time.Millisecond, func(c, n int) *broker.Request { return r.request(usage, c+n, 2) })
 		require.NotZero(t, ends[broker.Answered])
 		peak[i] = fresh.Worst(1500 * time.Millisecond)
@@ -227,12 +227,12 @@
 			switch v % 3 {
 			case 0, 1:
 				s.Restart()
-				r.Update(broker.List{Mode: cloverhook.ListDelta, Version: v, Servers: []broker.ListEntry{s.Entry(cloverhook.Ready)}})
+				r.Update(broker.List{Mode: decision.ListDelta, Version: v, Servers: []broker.ListEntry{s.Entry(decision.Ready)}})
 			case 2:
-				r.Update(broker.List{Mode: cloverhook.ListDelta, Version: v, Servers: []broker.ListEntry{s.Entry(cloverhook.Gone)}})
+				r.Update(broker.List{Mode: decision.ListDelta, Version: v, Servers: []broker.ListEntry{s.Entry(decision.Gone)}})
 				time.Sleep(20 * time.Millisecond)
 				v += 6 // its turn, and so its number, stays
-				r.Update(broker.List{Mode: cloverhook.ListDelta, Version: v, Servers: []broker.ListEntry{s.Entry(cloverhook.Ready)}})
+				r.Update(broker.List{Mode: decision.ListDelta, Version: v, Servers: []broker.ListEntry{s.Entry(decision.Ready)}})
 			}
 		}
 	})
@@ -248,11 +248,11 @@
 
 // slow is a Decider that takes its time now and then, as one does whose core is taken away.
 type slow struct {
-	cloverhook.Decider
+	decision.Decider
 	until *atomic.Int64
 }
 
-func (s slow) Handle(now float64, events []cloverhook.Event) []cloverhook.Action {
+func (s slow) Handle(now float64, events []decision.Event) []decision.Action {
 	actions := s.Decider.Handle(now, events)
 	time.Sleep(time.Until(time.Unix(0, s.until.Load()))) // behind the decision: what it decided is old by then
 	return actions
@@ -262,11 +262,11 @@
 func TestADrainToldWhileAWorkerIsBusy(t *testing.T) {
 	var busy atomic.Int64
 	r := newRig(t, rigOptions{workers: 2, servers: 4, work: 2 * time.Millisecond,
-		decider: func(w int, set cloverhook.Settings, seed uint64) cloverhook.Decider {
+		decider: func(w int, set decision.Settings, seed uint64) decision.Decider {
 			if w == 0 {
-				return slow{cloverhook.New(set, seed), &busy}
+				return slow{decision.New(set, seed), &busy}
 			}
-			return cloverhook.New(set, seed)
+			return decision.New(set, seed)
 		}})
 	go func() {
 		time.Sleep(300 * time.Millisecond)
@@ -275,7 +275,7 @@
 		s := r.fleet.Servers[1]
 		s.Drain()
 		began := time.Now()
-		r.Update(broker.List{Mode: cloverhook.ListDelta, Version: 1, Servers: []broker.ListEntry{s.Entry(cloverhook.Draining)}})
+		r.Update(broker.List{Mode: decision.ListDelta, Version: 1, Servers: []broker.ListEntry{s.Entry(decision.Draining)}})
 		if took := time.Since(began); took > tellWait+50*time.Millisecond {
 			t.Errorf("the watch of the list was held up for %v", took)
 		}
@@ -288,8 +288,8 @@
 func TestOneConnectionsLoadIsSpread(t *testing.T) {
 	var asked [2]atomic.Int64
 	r := newRig(t, rigOptions{workers: 2, servers: 4, work: time.Millisecond,
-		decider: func(w int, set cloverhook.Settings, seed uint64) cloverhook.Decider {
-			return counting{cloverhook.New(set, seed), &asked[w]}
+		decider: func(w int, set decision.Settings, seed uint64) decision.Decider {
+			return counting{decision.New(set, seed), &asked[w]}
 		}})
 	for n := range 100 {
 		require.Equal(t, broker.Answered, r.ask(r.request(usage, n, 2)).Outcome)
@@ -300,13 +300,13 @@
 }
 
 type counting struct {
-	cloverhook.Decider
+	decision.Decider
 	n *atomic.Int64
 }
 
-func (c counting) Handle(now float64, events []cloverhook.Event) []cloverhook.Action {
+func (c counting) Handle(now float64, events []decision.Event) []decision.Action {
 	for _, e := range events {
-		if _, ok := e.(cloverhook.Query); ok {
+		if _, ok := e.(decision.Query); ok {
 			c.n.Add(1)
 		}
 	}
@@ -416,11 +416,11 @@
 }
 
 // doomed is a Decider that panics at a query of two parts.
-type doomed struct{ cloverhook.Decider }
+type doomed struct{ decision.Decider }
 
-func (d doomed) Handle(now float64, events []cloverhook.Event) []cloverhook.Action {
+func (d doomed) Handle(now float64, events []decision.Event) []decision.Action {
 	for _, e := range events {
-		if q, ok := e.(cloverhook.Query); ok && q.Parts == 2 {
+		if q, ok := e.(decision.Query); ok && q.Parts == 2 {
 			panic("a fault in the decisions")
 		}
 	}
@@ -430,8 +430,8 @@
 // A worker that panics leaves nobody hanging: what it held fails at once, the others serve on.
 func TestAWorkerThatPanicsLeavesNobodyHanging(t *testing.T) {
 	r := newRig(t, rigOptions{workers: 2, servers: 4, work: 150 * time.Millisecond,
-		decider: func(w int, set cloverhook.Settings, seed uint64) cloverhook.Decider {
-			return doomed{cloverhook.New(set, seed)}
+		decider: func(w int, set decision.Settings, seed uint64) decision.Decider {
+			return doomed{decision.New(set, seed)}
 		}})
 	held := make(chan broker.Result, 4)
 	for i := range 4 {
@@ -450,7 +450,7 @@
 	for i := range 4 {
 		require.Equal(t, broker.Answered, r.ask(r.request(usage, i, 1)).Outcome)
 	}
-	r.Update(broker.List{Mode: cloverhook.ListDelta, Version: 1, Servers: r.fleet.Entries()})
+	r.Update(broker.List{Mode: decision.ListDelta, Version: 1, Servers: r.fleet.Entries()})
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	r.Drain(ctx)
--- a/internal/cores/share.go
+++ b/internal/cores/share.go
@@ -6,9 +6,9 @@
 	"strings"
 	"sync"
 
-	"cloverhook"
-	"cloverhook/internal/evidence"
-	"cloverhook/internal/lease"
+	"mothrouter/internal/decision"
+	"mothrouter/internal/evidence"
+	"mothrouter/internal/lease"
 )
 
 // share is what the workers of a process have in common. Each worker's Decider is wrapped in a sharer, which puts
@@ -26,8 +26,8 @@
 	probed  map[string]float64 // when one was last probed by whichever worker
 	over    int                // parts beyond a lease by workers that had been told; stays 0
 
-	entries map[string]cloverhook.Server // the list as it is now
-	news    []cloverhook.List            // the latest news, those from number first on
+	entries map[string]decision.Server // the list as it is now
+	news    []decision.List            // the latest news, those from number first on
 	first   int
 }
 
@@ -44,7 +44,7 @@
 	newsKept   = 64   // a worker that lags behind more news gets the whole list instead
 )
 
-func newShare(workers int, set cloverhook.Settings, seed uint64) *share {
+func newShare(workers int, set decision.Settings, seed uint64) *share {
 	l := lease.Limits{
 		ColdShare: set.ColdShare, WarmUp: set.WarmUp, FallMultiple: set.FallMultiple, FallTime: set.FallTime,
 		Brokers: set.Brokers,
@@ -53,7 +53,7 @@
 		workers: workers, board: evidence.NewBoard(workers), limits: l,
 		bearing: lease.NewBearing(l, rand.New(rand.NewPCG(seed, 0x3c6ef372fe94f82b))),
 		cold:    map[string]*coldServer{}, started: map[string]float64{}, probed: map[string]float64{},
-		entries: map[string]cloverhook.Server{},
+		entries: map[string]decision.Server{},
 	}
 }
 
@@ -69,21 +69,21 @@
 
 // tell takes up news of the list, once for all workers, before any of them: from then on each worker decides with
 // it, also one whose loop has not come to the event yet.
-func (s *share) tell(l cloverhook.List, now float64) {
+func (s *share) tell(l decision.List, now float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if l.Mode != cloverhook.ListFailed {
+	if l.Mode != decision.ListFailed {
 		s.list(l, now)
 	}
 	s.news = append(s.news, l)
 	if len(s.news) > newsKept {
-		s.news = append([]cloverhook.List(nil), s.news[1:]...)
+		s.news = append([]decision.List(nil), s.news[1:]...)
 		s.first++
 	}
 }
 
-func (s *share) list(l cloverhook.List, now float64) {
-	if l.Mode != cloverhook.ListDelta { // those that it lacks are gone
+func (s *share) list(l decision.List, now float64) {
+	if l.Mode != decision.ListDelta { // those that it lacks are gone
 		here := map[string]bool{}
 		for _, e := range l.Servers {
 			here[e.ID] = true
@@ -95,7 +95,7 @@
 		}
 	}
 	for _, e := range l.Servers {
-		if e.State == cloverhook.Gone {
+		if e.State == decision.Gone {
 			s.drop(e.ID)
 			continue
 		}
@@ -125,13 +125,13 @@
 }
 
 // catchUp is the news that a worker has not had, which had those before number got.
-func (s *share) catchUp(got int) (news []cloverhook.Event) {
+func (s *share) catchUp(got int) (news []decision.Event) {
 	if got < s.first {
-		l := cloverhook.List{Mode: cloverhook.ListFull}
+		l := decision.List{Mode: decision.ListFull}
 		for _, e := range s.entries {
 			l.Servers = append(l.Servers, e)
 		}
-		slices.SortFunc(l.Servers, func(a, b cloverhook.Server) int { return strings.Compare(a.ID, b.ID) })
+		slices.SortFunc(l.Servers, func(a, b decision.Server) int { return strings.Compare(a.ID, b.ID) })
 		return append(news, l)
 	}
 	for _, l := range s.news[got-s.first:] {
@@ -141,20 +141,20 @@
 }
 
 // see books an outcome.
-func (s *share) see(worker int, now float64, id string, status cloverhook.Status, latency float64, load cloverhook.Load) {
+func (s *share) see(worker int, now float64, id string, status decision.Status, latency float64, load decision.Load) {
 	if _, listed := s.started[id]; !listed {
 		return // gone: nothing is kept of it
 	}
 	seen := evidence.Seen{Latency: latency, Load: load}
 	switch status {
-	case cloverhook.OK:
+	case decision.OK:
 		seen.Kind = evidence.Good
 		if s.cold[id] == nil {
 			s.bearing.Answered(now, s.warm())
 		}
-	case cloverhook.TimedOut, cloverhook.Cancelled:
+	case decision.TimedOut, decision.Cancelled:
 		seen.Kind = evidence.Silent
-	case cloverhook.NotSent:
+	case decision.NotSent:
 		return
 	default:
 		seen.Kind = evidence.Failed
@@ -163,7 +163,7 @@
 }
 
 // rooms are a worker's leases of all cold servers.
-func (s *share) rooms(worker int, now float64, events []cloverhook.Event) []cloverhook.Event {
+func (s *share) rooms(worker int, now float64, events []decision.Event) []decision.Event {
 	for id, c := range s.cold {
 		w := s.bearing.Warmth(c.started, now)
 		if w >= 1 {
@@ -177,7 +177,7 @@
 		if g.Parts == 0 {
 			c.budget.Miss(worker, now)
 		}
-		events = append(events, cloverhook.Allowance{Server: id, Parts: g.Parts, Until: g.Until})
+		events = append(events, decision.Allowance{Server: id, Parts: g.Parts, Until: g.Until})
 	}
 	return events
 }
@@ -186,25 +186,25 @@
 type sharer struct {
 	*share
 	worker int
-	inner  cloverhook.Decider
+	inner  decision.Decider
 	got    int // news of the list that inner has had
 }
 
 // before takes what the worker saw and adds what it should hear. A panic must not leave the lock held: the other
 // workers go on.
-func (d *sharer) before(now float64, events []cloverhook.Event) []cloverhook.Event {
+func (d *sharer) before(now float64, events []decision.Event) []decision.Event {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	all := d.catchUp(d.got)
 	d.got = d.first + len(d.news)
 	for _, e := range events {
 		switch e := e.(type) {
-		case cloverhook.List:
+		case decision.List:
 			continue // it is among the news, perhaps of a batch ago
-		case cloverhook.Ended:
+		case decision.Ended:
 			d.see(d.worker, now, e.Server, e.Status, e.Latency, e.Load)
-		case cloverhook.Probed:
-			if e.Status != cloverhook.TimedOut {
+		case decision.Probed:
+			if e.Status != decision.TimedOut {
 				d.see(d.worker, now, e.Server, e.Status, e.Latency, e.Load)
 			}
 		}
@@ -221,26 +221,26 @@
 	return all
 }
 
-// Handle implements cloverhook.Decider.
-func (d *sharer) Handle(now float64, events []cloverhook.Event) []cloverhook.Action {
+// Handle implements decision.Decider.
+func (d *sharer) Handle(now float64, events []decision.Event) []decision.Action {
 	events = d.before(now, events)
 	actions := d.inner.Handle(now, events)
 	return d.after(now, actions)
 }
 
 // after books what the worker sends.
-func (d *sharer) after(now float64, actions []cloverhook.Action) []cloverhook.Action {
+func (d *sharer) after(now float64, actions []decision.Action) []decision.Action {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	kept := actions[:0]
 	for _, a := range actions {
 		switch a := a.(type) {
-		case cloverhook.Send:
+		case decision.Send:
 			// One that was decided while the news came counts, but broke no lease that its worker knew of.
 			if c := d.cold[a.Server]; c != nil && !c.budget.Spend(d.worker, 1, now) && c.told < d.got {
 				d.over++
 			}
-		case cloverhook.Probe:
+		case decision.Probe:
 			if at, asked := d.probed[a.Server]; asked && now-at < probeAgain {
 				continue // another worker asks it just now, and what it says is heard by all
 			}
--- a/api.go
+++ b/internal/decision/api.go
@@ -1,11 +1,11 @@
-// Package cloverhook decides for a query broker (an aggregator): a client that splits each query over many
+// Package decision decides for a query broker (an aggregator): a client that splits each query over many
 // shards and reads every shard from one of its replicas. It chooses the replica of each part, the
 // time-outs, further attempts and second copies, judges health, admits or refuses queries and says
 // when to answer. It does no I/O and keeps no clock: the caller hands in the time and a batch of
 // events and carries out the actions that come back.
 //
 // This file is the interface. All decisions are in policy.go.
-package cloverhook
+package decision
 
 // Times and durations are seconds; times are on a clock of the caller's that never runs backwards.
 
--- a/cold_test.go
+++ b/internal/decision/cold_test.go
@@ -1,4 +1,4 @@
-package cloverhook_test
+package decision_test
 
 import (
 	"cmp"
@@ -12,14 +12,14 @@
 
 	"github.com/stretchr/testify/require"
 
-	"cloverhook"
+	"mothrouter/internal/decision"
 )
 
 // due is an answer on its way to a broker.
 type due struct {
 	at     float64
-	broker *cloverhook.Policy
-	ended  cloverhook.Ended
+	broker *decision.Policy
+	ended  decision.Ended
 }
 
 type dues []due
@@ -50,11 +50,11 @@
 
 const coldStart = 12.0
 
-func (d coldDay) settings() cloverhook.Settings {
-	return cloverhook.Settings{
-		Classes: []cloverhook.Class{{Aim: 1.5, Deadline: 4, Need: 1, Floor: 1, Worth: 1}}, Brokers: d.brokers,
+func (d coldDay) settings() decision.Settings {
+	return decision.Settings{
+		Classes: []decision.Class{{Aim: 1.5, Deadline: 4, Need: 1, Floor: 1, Worth: 1}}, Brokers: d.brokers,
 		Cells: d.servers, Reach: 2, BatchMax: 1, MaxAttempts: 4, Tick: 0.001, MayCancel: true, RetryAfter: true, MaxWait: 0.5,
-		ReportMode: cloverhook.ReportPiggyback, ColdShare: 0.2, WarmUp: 17, FallMultiple: 2.5, FallTime: 1.5,
+		ReportMode: decision.ReportPiggyback, ColdShare: 0.2, WarmUp: 17, FallMultiple: 2.5, FallTime: 1.5,
 	}
 }
 
@@ -64,33 +64,33 @@
 	capacity := cmp.Or(d.capacity, 50)
 	set := d.settings()
 	rng := rand.New(rand.NewPCG(seed, 1))
-	var list []cloverhook.Server
+	var list []decision.Server
 	for i := range d.servers {
-		list = append(list, cloverhook.Server{ID: fmt.Sprint("s", i), Cell: i})
+		list = append(list, decision.Server{ID: fmt.Sprint("s", i), Cell: i})
 	}
-	fleet := make([][]*cloverhook.Policy, d.brokers) // of each, its processes
-	blank := func(now float64) *cloverhook.Policy {
-		p := cloverhook.New(set, rng.Uint64())
-		p.Handle(now, []cloverhook.Event{cloverhook.List{Mode: cloverhook.ListFull, Servers: list}})
+	fleet := make([][]*decision.Policy, d.brokers) // of each, its processes
+	blank := func(now float64) *decision.Policy {
+		p := decision.New(set, rng.Uint64())
+		p.Handle(now, []decision.Event{decision.List{Mode: decision.ListFull, Servers: list}})
 		return p
 	}
 	for i := range fleet {
-		fleet[i] = []*cloverhook.Policy{blank(0)}
+		fleet[i] = []*decision.Policy{blank(0)}
 	}
 	var out dues
 	arrivals := map[string][]float64{}
 	started := map[string]float64{}
 	free := map[string]float64{} // when each server has worked through what it holds
-	do := func(now float64, p *cloverhook.Policy, actions []cloverhook.Action) {
+	do := func(now float64, p *decision.Policy, actions []decision.Action) {
 		for _, s := range sends(actions) {
 			bears := capacity
 			if at := started[s.Server]; at > 0 {
 				arrivals[s.Server] = append(arrivals[s.Server], now)
 				bears *= math.Min(1, set.ColdShare+(1-set.ColdShare)*(now-at)/set.WarmUp)
 			}
-			e := cloverhook.Ended{ID: s.ID, Server: s.Server, Status: cloverhook.OK, Closed: true, Load: cloverhook.NoLoad}
+			e := decision.Ended{ID: s.ID, Server: s.Server, Status: decision.OK, Closed: true, Load: decision.NoLoad}
 			if e.Latency = 0.001; free[s.Server] > now+1 {
-				e.Status, e.Closed = cloverhook.Overloaded, false
+				e.Status, e.Closed = decision.Overloaded, false
 			} else {
 				free[s.Server] = max(free[s.Server], now) + 2*rng.Float64()/bears
 				e.Latency = free[s.Server] - now + 0.01
@@ -109,11 +109,11 @@
 			started[list[n].ID] = now
 			free[list[n].ID] = now
 			if d.alone { // no other holds its shards
-				list[(n+1)%d.servers].State, list[(n+d.servers-1)%d.servers].State = cloverhook.Gone, cloverhook.Gone
+				list[(n+1)%d.servers].State, list[(n+d.servers-1)%d.servers].State = decision.Gone, decision.Gone
 			}
 			for i := range fleet {
 				for _, p := range fleet[i] {
-					p.Handle(now, []cloverhook.Event{cloverhook.List{Mode: cloverhook.ListFull, Servers: list}})
+					p.Handle(now, []decision.Event{decision.List{Mode: decision.ListFull, Servers: list}})
 				}
 			}
 		}
@@ -122,7 +122,7 @@
 		start(0)(now)
 		for i := range fleet {
 			if rng.Float64() < d.blank {
-				fleet[i] = []*cloverhook.Policy{blank(now)}
+				fleet[i] = []*decision.Policy{blank(now)}
 			}
 		}
 	}})
@@ -144,7 +144,7 @@
 		}})
 	}
 	slices.SortStableFunc(todo, func(a, b step) int { return cmp.Compare(a.at, b.at) })
-	next, id := 0.0, cloverhook.RequestID(0)
+	next, id := 0.0, decision.RequestID(0)
 	for next < coldStart+8.5 {
 		for len(todo) > 0 && next >= todo[0].at {
 			todo[0].do(todo[0].at)
@@ -152,14 +152,14 @@
 		}
 		for len(out) > 0 && out[0].at <= next {
 			x := heap.Pop(&out).(due)
-			do(x.at, x.broker, x.broker.Handle(x.at, []cloverhook.Event{x.ended}))
+			do(x.at, x.broker, x.broker.Handle(x.at, []decision.Event{x.ended}))
 		}
 		m, n := rng.IntN(d.brokers), 1+rng.IntN(5)
 		id += 100
-		ev := []cloverhook.Event{cloverhook.Query{ID: id, Number: int64(id), Parts: n, Deadline: next + 4}}
+		ev := []decision.Event{decision.Query{ID: id, Number: int64(id), Parts: n, Deadline: next + 4}}
 		first := rng.IntN(d.servers)
 		for i := range n {
-			ev = append(ev, cloverhook.Part{ID: id + 1 + cloverhook.RequestID(i), Number: int64(id),
+			ev = append(ev, decision.Part{ID: id + 1 + decision.RequestID(i), Number: int64(id),
 				Shard: (first + i) % d.servers, Weight: 1 / float64(n)})
 		}
 		p := fleet[m][rng.IntN(len(fleet[m]))]
--- /dev/null
+++ b/internal/decision/example_test.go
@@ -0,0 +1,40 @@
+package decision_test
+
+import (
+	"fmt"
+
+	"mothrouter/internal/decision"
+)
+
+// A broker hands in events with their time and carries out the actions.
+func Example() {
+	settings := decision.Settings{
+		Classes: []decision.Class{{Aim: 1, Deadline: 2, Need: 1, Floor: 1}},
+		Brokers: 1, Cells: 1, Reach: 1, BatchMax: 1, MaxAttempts: 3, Tick: 0.005,
+	}
+	p := decision.New(settings, 1)
+	p.Handle(0, []decision.Event{
+		decision.List{Mode: decision.ListFull, Servers: []decision.Server{{ID: "a:1"}}},
+	})
+	show := func(actions []decision.Action) {
+		for _, a := range actions {
+			switch a := a.(type) {
+			case decision.Send:
+				fmt.Println("send part", a.ID, "to", a.Server)
+			case decision.Answer:
+				fmt.Println("answer query", a.ID, "whole:", a.Whole)
+			}
+		}
+	}
+	show(p.Handle(1, []decision.Event{
+		decision.Query{ID: 10, Number: 1, Parts: 1, Deadline: 3},
+		decision.Part{ID: 11, Number: 1, Shard: 0, Weight: 1},
+	}))
+	show(p.Handle(1.2, []decision.Event{
+		decision.Ended{ID: 11, Attempt: 0, Server: "a:1", Status: decision.OK, Latency: 0.2, Closed: true,
+			Load: decision.NoLoad},
+	}))
+	// Output:
+	// send part 11 to a:1
+	// answer query 10 whole: true
+}
--- a/failures_test.go
+++ b/internal/decision/failures_test.go
@@ -1,9 +1,9 @@
-package cloverhook_test
+package decision_test
 
 import (
 	"testing"
 
-	"cloverhook"
+	"mothrouter/internal/decision"
 )
 
 // Each test stands for a failure that was met; it fails without the defence that answers it.
@@ -13,21 +13,21 @@
 	r := newRig(t, settings(), servers(3)...)
 	r.warm(60, 0.05)
 	toJam, refused := 0, 0
-	var out []cloverhook.Send
+	var out []decision.Send
 	for range 40 {
 		_, ev := r.query(0, 3)
 		actions := r.at(r.now+0.1, ev...)
 		for len(actions) > 0 {
-			var next []cloverhook.Event
+			var next []decision.Event
 			for _, a := range actions {
 				switch a := a.(type) {
-				case cloverhook.Send:
+				case decision.Send:
 					toJam++
 					out = append(out, a)
-				case cloverhook.Cancel:
+				case decision.Cancel:
 					srv := serverOf(out, a.ID, a.Attempt)
-					next = append(next, ended(a.ID, a.Attempt, srv, cloverhook.Cancelled, 0.3))
-				case cloverhook.Refuse:
+					next = append(next, ended(a.ID, a.Attempt, srv, decision.Cancelled, 0.3))
+				case decision.Refuse:
 					refused++
 				}
 			}
@@ -45,7 +45,7 @@
 	}
 }
 
-func serverOf(out []cloverhook.Send, id cloverhook.RequestID, attempt int) string {
+func serverOf(out []decision.Send, id decision.RequestID, attempt int) string {
 	for _, s := range out {
 		if s.ID == id {
 			if attempt == 0 {
@@ -58,7 +58,7 @@
 }
 
 // share counts where single parts go when every server answers as the table of behaviour says.
-func share(r *rig, n int, answer func(cloverhook.Send) cloverhook.Event) map[string]int {
+func share(r *rig, n int, answer func(decision.Send) decision.Event) map[string]int {
 	count := map[string]int{}
 	for range n {
 		_, ev := r.query(0, 1)
@@ -69,7 +69,7 @@
 			if e == nil {
 				break
 			}
-			end := e.(cloverhook.Ended)
+			end := e.(decision.Ended)
 			end.Attempt = k
 			out = sends(r.at(r.now+0.005, end))
 		}
@@ -79,15 +79,15 @@
 
 // A server that fails fast shows a short queue and would win parts.
 func TestFastErrorsLoseWeight(t *testing.T) {
-	for _, st := range []cloverhook.Status{cloverhook.Error, cloverhook.Overloaded, cloverhook.Unreachable,
-		cloverhook.Reset} {
+	for _, st := range []decision.Status{decision.Error, decision.Overloaded, decision.Unreachable,
+		decision.Reset} {
 		r := newRig(t, settings(), servers(3)...)
 		r.warm(60, 0.05)
-		answer := func(s cloverhook.Send) cloverhook.Event {
+		answer := func(s decision.Send) decision.Event {
 			if s.Server == "s0" {
 				return ended(s.ID, 0, s.Server, st, 0.001)
 			}
-			return ended(s.ID, 0, s.Server, cloverhook.OK, 0.05)
+			return ended(s.ID, 0, s.Server, decision.OK, 0.05)
 		}
 		share(r, 30, answer)
 		if got := share(r, 100, answer)["s0"]; got > 10 {
@@ -100,11 +100,11 @@
 func TestSilentServerLosesWeight(t *testing.T) {
 	r := newRig(t, settings(), servers(3)...)
 	r.warm(60, 0.05)
-	answer := func(s cloverhook.Send) cloverhook.Event {
+	answer := func(s decision.Send) decision.Event {
 		if s.Server == "s0" {
 			return nil
 		}
-		return ended(s.ID, 0, s.Server, cloverhook.OK, 0.05)
+		return ended(s.ID, 0, s.Server, decision.OK, 0.05)
 	}
 	if got := share(r, 200, answer)["s0"]; got > 20 {
 		t.Errorf("%d of 200 parts went to the silent server, want at most 20", got)
@@ -123,8 +123,8 @@
 		if len(out) != 2 || len(finals(r.at(r.now+0.4))) > 0 {
 			t.Fatalf("%d parts sent, want 2 and no final answer within 0.4 s", len(out))
 		}
-		r.handle(cloverhook.ClientGone{ID: id}, ended(out[0].ID, 0, out[0].Server, cloverhook.OK, 0.1),
-			ended(out[1].ID, 0, out[1].Server, cloverhook.Cancelled, 0.4))
+		r.handle(decision.ClientGone{ID: id}, ended(out[0].ID, 0, out[0].Server, decision.OK, 0.1),
+			ended(out[1].ID, 0, out[1].Server, decision.Cancelled, 0.4))
 		r.now += 5 // long enough for the parts that were cancelled to be forgotten
 	}
 	id, ev := r.query(0, 2)
@@ -132,9 +132,9 @@
 	if len(out) != 2 {
 		t.Fatalf("%d parts sent, want 2", len(out))
 	}
-	r.at(r.now+0.1, ended(out[0].ID, 0, out[0].Server, cloverhook.OK, 0.1))
+	r.at(r.now+0.1, ended(out[0].ID, 0, out[0].Server, decision.OK, 0.1))
 	got := finals(r.at(r.now + 0.29))
-	if len(got) != 1 || got[0] != (cloverhook.Answer{ID: id}) {
+	if len(got) != 1 || got[0] != (decision.Answer{ID: id}) {
 		t.Errorf("just before clients leave: %v, want an answer in part", got)
 	}
 }
@@ -154,9 +154,9 @@
 			continue
 		}
 		for k := 0; len(out) > 0; k++ {
-			st := cloverhook.Error
+			st := decision.Error
 			if k == 2 || i%10 == 0 {
-				st = cloverhook.OK
+				st = decision.OK
 			}
 			out = sends(r.handle(ended(out[0].ID, k, out[0].Server, st, 0.02)))
 		}
@@ -171,15 +171,15 @@
 	s := settings()
 	s.WarmUp = 0
 	r := newRig(t, s, servers(3)...)
-	share(r, 60, func(snd cloverhook.Send) cloverhook.Event {
+	share(r, 60, func(snd decision.Send) decision.Event {
 		if snd.Server == "s0" {
-			return ended(snd.ID, 0, snd.Server, cloverhook.Unreachable, 0.001)
+			return ended(snd.ID, 0, snd.Server, decision.Unreachable, 0.001)
 		}
-		return ended(snd.ID, 0, snd.Server, cloverhook.OK, 0.01)
+		return ended(snd.ID, 0, snd.Server, decision.OK, 0.01)
 	})
-	r.handle(cloverhook.List{Servers: []cloverhook.Server{{ID: "s0", Started: r.now}}})
-	first := share(r, 12, func(snd cloverhook.Send) cloverhook.Event {
-		return ended(snd.ID, 0, snd.Server, cloverhook.OK, 0.01)
+	r.handle(decision.List{Servers: []decision.Server{{ID: "s0", Started: r.now}}})
+	first := share(r, 12, func(snd decision.Send) decision.Event {
+		return ended(snd.ID, 0, snd.Server, decision.OK, 0.01)
 	})
 	if first["s0"] < 2 {
 		t.Errorf("%d of the first 12 parts went to the restarted server, want at least 2", first["s0"])
@@ -196,8 +196,8 @@
 		s.CrossZonePrice = c.price
 		list := servers(2)
 		list[1].Zone = 1
-		got := share(newRig(t, s, list...), 300, func(snd cloverhook.Send) cloverhook.Event {
-			return ended(snd.ID, 0, snd.Server, cloverhook.OK, 0.01)
+		got := share(newRig(t, s, list...), 300, func(snd decision.Send) decision.Event {
+			return ended(snd.ID, 0, snd.Server, decision.OK, 0.01)
 		})["s1"]
 		if got < c.min || got > c.max {
 			t.Errorf("price %g: %d of 300 parts crossed zones, want %d to %d", c.price, got, c.min, c.max)
@@ -209,11 +209,11 @@
 func TestSlowServerLosesWeightForAWhile(t *testing.T) {
 	r := newRig(t, settings(), servers(3)...)
 	slow := 1.0
-	answer := func(s cloverhook.Send) cloverhook.Event {
+	answer := func(s decision.Send) decision.Event {
 		if s.Server == "s0" {
-			return ended(s.ID, 0, s.Server, cloverhook.OK, 0.05*slow)
+			return ended(s.ID, 0, s.Server, decision.OK, 0.05*slow)
 		}
-		return ended(s.ID, 0, s.Server, cloverhook.OK, 0.05)
+		return ended(s.ID, 0, s.Server, decision.OK, 0.05)
 	}
 	rare := func(n int) int {
 		count := 0
@@ -247,7 +247,7 @@
 		_, ev := r.query(0, 1)
 		took := 0.05
 		if i%2 == 1 {
-			pt := ev[1].(cloverhook.Part)
+			pt := ev[1].(decision.Part)
 			pt.Shard, took = 1, 0.9
 			ev[1] = pt
 		}
@@ -259,7 +259,7 @@
 			}
 		}
 		for _, snd := range out {
-			r.at(r.now+took, ended(snd.ID, 0, snd.Server, cloverhook.OK, took))
+			r.at(r.now+took, ended(snd.ID, 0, snd.Server, decision.OK, took))
 		}
 	}
 	if refused < 20 || refused == 40 {
@@ -276,23 +276,23 @@
 	toCold, windows := 0, 4
 	for m := range brokers {
 		r := newRig(t, s, servers(4)...)
-		r.p = cloverhook.New(s, uint64(m))
-		r.handle(cloverhook.List{Mode: cloverhook.ListFull, Servers: servers(4)})
+		r.p = decision.New(s, uint64(m))
+		r.handle(decision.List{Mode: decision.ListFull, Servers: servers(4)})
 		for range 60 { // this broker's share of what four servers answer
 			_, ev := r.query(0, 1)
 			for _, snd := range sends(r.handle(ev...)) {
-				r.at(r.now+brokers/4.0/warmRate, ended(snd.ID, 0, snd.Server, cloverhook.OK, 0.02))
+				r.at(r.now+brokers/4.0/warmRate, ended(snd.ID, 0, snd.Server, decision.OK, 0.02))
 			}
 		}
-		r.handle(cloverhook.List{Servers: []cloverhook.Server{{ID: "s0", Cell: 1, Started: r.now}}})
+		r.handle(decision.List{Servers: []decision.Server{{ID: "s0", Cell: 1, Started: r.now}}})
 		for range 40 * windows { // a query whenever it likes, in each fall window
 			_, ev := r.query(0, 1)
-			pt := ev[1].(cloverhook.Part)
+			pt := ev[1].(decision.Part)
 			pt.Shard = 1
 			ev[1] = pt
 			for _, snd := range sends(r.at(r.now+s.FallTime/40, ev...)) {
 				toCold++
-				r.handle(ended(snd.ID, 0, snd.Server, cloverhook.OK, 0.02))
+				r.handle(ended(snd.ID, 0, snd.Server, decision.OK, 0.02))
 			}
 		}
 	}
@@ -311,9 +311,9 @@
 		out := sends(r.at(r.now+0.5, ev...))
 		n := 0
 		for len(out) > 0 { // those that go ahead, then the others
-			var back []cloverhook.Event
+			var back []decision.Event
 			for _, snd := range out {
-				back = append(back, ended(snd.ID, 0, snd.Server, cloverhook.OK, took))
+				back = append(back, ended(snd.ID, 0, snd.Server, decision.OK, took))
 			}
 			n += len(out)
 			out = sends(r.at(r.now+took, back...))
@@ -345,17 +345,17 @@
 	if len(out) != 6 {
 		t.Fatalf("%d parts sent, want 6", len(out))
 	}
-	var resets []cloverhook.Event
+	var resets []decision.Event
 	for _, snd := range out {
-		resets = append(resets, ended(snd.ID, 0, snd.Server, cloverhook.Reset, 0.02))
+		resets = append(resets, ended(snd.ID, 0, snd.Server, decision.Reset, 0.02))
 	}
 	actions := r.at(r.now+0.02, resets...)
-	if got := finals(actions); len(got) != 1 || got[0] != (cloverhook.Refuse{ID: id}) || len(sends(actions)) > 0 {
+	if got := finals(actions); len(got) != 1 || got[0] != (decision.Refuse{ID: id}) || len(sends(actions)) > 0 {
 		t.Errorf("all parts broke their servers: %v, want a refusal and no further send", actions)
 	}
 	id, ev = r.query(0, 6)
 	actions = r.at(r.now+0.1, ev...)
-	if got := finals(actions); len(got) != 1 || got[0] != (cloverhook.Refuse{ID: id}) || len(sends(actions)) > 0 {
+	if got := finals(actions); len(got) != 1 || got[0] != (decision.Refuse{ID: id}) || len(sends(actions)) > 0 {
 		t.Errorf("its repeat: %v, want a refusal and no send", actions)
 	}
 	_, ev = r.query(0, 5)
@@ -363,7 +363,7 @@
 	if len(ahead) != 1 {
 		t.Fatalf("%d parts sent ahead, want 1", len(ahead))
 	}
-	rest := sends(r.at(r.now+0.05, ended(ahead[0].ID, 0, ahead[0].Server, cloverhook.OK, 0.05)))
+	rest := sends(r.at(r.now+0.05, ended(ahead[0].ID, 0, ahead[0].Server, decision.OK, 0.05)))
 	if len(rest) != 4 {
 		t.Errorf("%d parts sent after the first was answered, want 4", len(rest))
 	}
@@ -384,10 +384,10 @@
 	r.warm(60, 0.05)
 	_, ev := r.query(0, 6)
 	out := sends(r.handle(ev...))
-	var events []cloverhook.Event
+	var events []decision.Event
 	for i, snd := range out {
 		if i < 3 {
-			events = append(events, ended(snd.ID, 0, snd.Server, cloverhook.Reset, 0.002))
+			events = append(events, ended(snd.ID, 0, snd.Server, decision.Reset, 0.002))
 		}
 	}
 	actions := r.at(r.now+0.005, events...)
@@ -397,7 +397,7 @@
 	again := len(sends(actions))
 	events = nil
 	for _, snd := range out[3:] {
-		events = append(events, ended(snd.ID, 0, snd.Server, cloverhook.OK, 0.05))
+		events = append(events, ended(snd.ID, 0, snd.Server, decision.OK, 0.05))
 	}
 	if again += len(sends(r.at(r.now+0.05, events...))); again != 3 {
 		t.Errorf("%d parts sent again once the others were answered, want 3", again)
@@ -416,7 +416,7 @@
 	if len(out) != 2 {
 		t.Fatalf("%d parts sent, want 2 of 4", len(out))
 	}
-	if n := len(sends(r.at(r.now+0.04, ended(out[0].ID, 0, out[0].Server, cloverhook.OK, 0.04)))); n != 0 {
+	if n := len(sends(r.at(r.now+0.04, ended(out[0].ID, 0, out[0].Server, decision.OK, 0.04)))); n != 0 {
 		t.Fatalf("%d spare parts sent while the other may come in time, want 0", n)
 	}
 	spare := sends(r.at(r.now + 0.02))
@@ -438,12 +438,12 @@
 			t.Fatalf("%d parts sent, want 1", len(out))
 		}
 		if out[0].Server != "s0" {
-			r.at(r.now+0.05, ended(out[0].ID, 0, out[0].Server, cloverhook.OK, 0.05))
+			r.at(r.now+0.05, ended(out[0].ID, 0, out[0].Server, decision.OK, 0.05))
 			continue
 		}
 		toSilent++
-		r.at(r.now+0.7, cloverhook.ClientGone{ID: id},
-			ended(out[0].ID, 0, "s0", cloverhook.Cancelled, 0.7))
+		r.at(r.now+0.7, decision.ClientGone{ID: id},
+			ended(out[0].ID, 0, "s0", decision.Cancelled, 0.7))
 	}
 	if toSilent > 12 {
 		t.Errorf("%d of 60 parts went to the server that never answers, want at most 12", toSilent)
@@ -459,8 +459,8 @@
 	r.handle(ev...)
 	for range 20 {
 		r.now += s.Tick
-		for _, a := range r.p.Handle(r.now, []cloverhook.Event{cloverhook.Timer{Token: 1}}) {
-			if timer, ok := a.(cloverhook.SetTimer); ok && timer.At <= r.now {
+		for _, a := range r.p.Handle(r.now, []decision.Event{decision.Timer{Token: 1}}) {
+			if timer, ok := a.(decision.SetTimer); ok && timer.At <= r.now {
 				t.Fatal("a timer for at once, though nothing is due")
 			}
 		}
@@ -468,7 +468,7 @@
 }
 
 // zoned are servers of one cell in two zones by turns.
-func zoned(n int) []cloverhook.Server {
+func zoned(n int) []decision.Server {
 	list := servers(n)
 	for i := range list {
 		list[i].Zone = i % 2
@@ -482,11 +482,11 @@
 	s := settings()
 	s.MaxAttempts, s.MayProbe = 1, false
 	r := newRig(t, s, zoned(300)...)
-	answer := func(s cloverhook.Send) cloverhook.Event {
+	answer := func(s decision.Send) decision.Event {
 		if int(s.Server[len(s.Server)-1]-'0')%2 == 1 {
-			return ended(s.ID, 0, s.Server, cloverhook.Reset, 0.002)
+			return ended(s.ID, 0, s.Server, decision.Reset, 0.002)
 		}
-		return ended(s.ID, 0, s.Server, cloverhook.OK, 0.05)
+		return ended(s.ID, 0, s.Server, decision.OK, 0.05)
 	}
 	share(r, 40, answer)
 	failed := 0
@@ -504,7 +504,7 @@
 func TestFailuresAreLookedIntoByProbes(t *testing.T) {
 	s := settings()
 	s.MaxAttempts, s.MayProbe = 1, true
-	for _, st := range []cloverhook.Status{cloverhook.OK, cloverhook.Reset} {
+	for _, st := range []decision.Status{decision.OK, decision.Reset} {
 		r := newRig(t, s, servers(100)...)
 		probed := map[string]bool{}
 		parts := map[string]int{}
@@ -513,15 +513,15 @@
 			actions := r.at(r.now+0.05, ev...)
 			for _, a := range actions {
 				switch a := a.(type) {
-				case cloverhook.Probe:
+				case decision.Probe:
 					probed[a.Server] = true
-					status := cloverhook.OK
+					status := decision.OK
 					if a.Server < "s7" { // seven in ten
 						status = st
 					}
-					r.handle(cloverhook.Probed{Server: a.Server, Status: status, Load: cloverhook.NoLoad})
-				case cloverhook.Send:
-					status := cloverhook.OK
+					r.handle(decision.Probed{Server: a.Server, Status: status, Load: decision.NoLoad})
+				case decision.Send:
+					status := decision.OK
 					if a.Server < "s7" {
 						status = st
 					}
@@ -532,10 +532,10 @@
 				}
 			}
 		}
-		if st == cloverhook.OK && len(probed) > 0 {
+		if st == decision.OK && len(probed) > 0 {
 			t.Errorf("%d servers probed while all is well, want none", len(probed))
 		}
-		if st != cloverhook.OK && len(probed) < 20 {
+		if st != decision.OK && len(probed) < 20 {
 			t.Errorf("%d servers probed while most of them fail, want at least 20", len(probed))
 		}
 		failed := 0
@@ -544,7 +544,7 @@
 				failed += n
 			}
 		}
-		if st != cloverhook.OK && failed > 20 {
+		if st != decision.OK && failed > 20 {
 			t.Errorf("%d of 100 parts went to failing servers, want at most 20", failed)
 		}
 	}
@@ -556,7 +556,7 @@
 	for _, byWork := range []bool{false, true} {
 		s := settings()
 		s.WorthByWork = byWork
-		s.Classes = []cloverhook.Class{
+		s.Classes = []decision.Class{
 			{Aim: 1, Deadline: 2, Need: 1, Floor: 1, Worth: 1}, {Aim: 1, Deadline: 2, Need: 1, Floor: 1, Worth: 3},
 		}
 		r := newRig(t, s, servers(3)...)
@@ -565,9 +565,9 @@
 			class, parts := i%2, 4-3*(i%2)
 			_, ev := r.query(class, parts)
 			actions := r.at(r.now+0.05, ev...)
-			var done []cloverhook.Event
+			var done []decision.Event
 			for _, snd := range sends(actions) {
-				done = append(done, ended(snd.ID, 0, snd.Server, cloverhook.OK, 0.9))
+				done = append(done, ended(snd.ID, 0, snd.Server, decision.OK, 0.9))
 			}
 			if i >= 100 {
 				refused[class] += len(finals(actions))
@@ -585,18 +585,18 @@
 	s := settings()
 	s.MaxAttempts = 1
 	r := newRig(t, s, servers(40)...)
-	share(r, 40, func(s cloverhook.Send) cloverhook.Event {
-		return ended(s.ID, 0, s.Server, cloverhook.Reset, 0.002)
+	share(r, 40, func(s decision.Send) decision.Event {
+		return ended(s.ID, 0, s.Server, decision.Reset, 0.002)
 	})
-	sound := cloverhook.Server{ID: "sound"}
-	ok := func(s cloverhook.Send) cloverhook.Event { return ended(s.ID, 0, s.Server, cloverhook.OK, 0.005) }
-	r.handle(cloverhook.List{Mode: cloverhook.ListFull, Servers: []cloverhook.Server{sound}})
+	sound := decision.Server{ID: "sound"}
+	ok := func(s decision.Send) decision.Event { return ended(s.ID, 0, s.Server, decision.OK, 0.005) }
+	r.handle(decision.List{Mode: decision.ListFull, Servers: []decision.Server{sound}})
 	share(r, 5, ok)
-	list := []cloverhook.Server{sound}
+	list := []decision.Server{sound}
 	for _, n := range []string{"n0", "n1", "n2", "n3", "n4", "n5", "n6", "n7", "n8", "n9"} {
-		list = append(list, cloverhook.Server{ID: n})
+		list = append(list, decision.Server{ID: n})
 	}
-	r.handle(cloverhook.List{Mode: cloverhook.ListFull, Servers: list})
+	r.handle(decision.List{Mode: decision.ListFull, Servers: list})
 	if got := share(r, 20, ok)["sound"]; got > 6 {
 		t.Errorf("%d of 20 parts went to the one server known, want at most 6: ten new ones are as good", got)
 	}
@@ -623,7 +623,7 @@
 // An attempt that its server has passed over for long is lost: it is given up for another, once, where a repeat
 // is safe, and left alone where it is not.
 func TestAttemptPassedOverIsGivenUp(t *testing.T) {
-	for _, repeat := range []cloverhook.Repeat{cloverhook.RepeatSafe, cloverhook.RepeatUnsafe} {
+	for _, repeat := range []decision.Repeat{decision.RepeatSafe, decision.RepeatUnsafe} {
 		s := settings()
 		s.Classes[0].Repeat = repeat
 		r := newRig(t, s, servers(1)...) // one server: it answers everything else
@@ -636,15 +636,15 @@
 			out := r.handle(ev...)
 			r.now += 0.02
 			for _, other := range sends(out) {
-				out = append(out, r.handle(ended(other.ID, 0, other.Server, cloverhook.OK, 0.02))...)
+				out = append(out, r.handle(ended(other.ID, 0, other.Server, decision.OK, 0.02))...)
 			}
 			for _, a := range out {
-				if c, ok := a.(cloverhook.Cancel); ok && c.ID == first.ID {
+				if c, ok := a.(decision.Cancel); ok && c.ID == first.ID {
 					cancelled++
 				}
 			}
 		}
-		if want := map[cloverhook.Repeat]int{cloverhook.RepeatSafe: 1}[repeat]; cancelled != want {
+		if want := map[decision.Repeat]int{decision.RepeatSafe: 1}[repeat]; cancelled != want {
 			t.Errorf("repeat %v: cancelled %d times, want %d", repeat, cancelled, want)
 		}
 	}
@@ -660,7 +660,7 @@
 		if len(out) != 1 {
 			t.Fatal("a query was refused for the clients that left before")
 		}
-		r.at(r.now+0.001, cloverhook.ClientGone{ID: id}, ended(out[0].ID, 0, out[0].Server, cloverhook.Cancelled, 0.001))
+		r.at(r.now+0.001, decision.ClientGone{ID: id}, ended(out[0].ID, 0, out[0].Server, decision.Cancelled, 0.001))
 		r.now += 4
 	}
 	_, ev := r.query(0, 1)
--- a/fleet_test.go
+++ b/internal/decision/fleet_test.go
@@ -1,4 +1,4 @@
-package cloverhook_test
+package decision_test
 
 import (
 	"fmt"
@@ -7,26 +7,26 @@
 
 	"github.com/stretchr/testify/require"
 
-	"cloverhook"
+	"mothrouter/internal/decision"
 )
 
 // fleetRig is a broker of many that knows 200 servers, each shard held by two, and the wide class of the site.
-func fleetRig(t testing.TB, n int) (*cloverhook.Policy, func(now float64, parts int) []cloverhook.Event) {
+func fleetRig(t testing.TB, n int) (*decision.Policy, func(now float64, parts int) []decision.Event) {
 	s := settings()
-	s.Brokers, s.Cells, s.Reach, s.ReportMode = 300, n, 2, cloverhook.ReportPiggyback
-	s.Classes = []cloverhook.Class{{Aim: 0.5, Deadline: 2, Need: 1, Floor: 0.8, Worth: 1}}
-	var list []cloverhook.Server
+	s.Brokers, s.Cells, s.Reach, s.ReportMode = 300, n, 2, decision.ReportPiggyback
+	s.Classes = []decision.Class{{Aim: 0.5, Deadline: 2, Need: 1, Floor: 0.8, Worth: 1}}
+	var list []decision.Server
 	for i := range n {
-		list = append(list, cloverhook.Server{ID: fmt.Sprint("s", i), Cell: i})
+		list = append(list, decision.Server{ID: fmt.Sprint("s", i), Cell: i})
 	}
-	p := cloverhook.New(s, 7)
-	p.Handle(100, []cloverhook.Event{cloverhook.List{Mode: cloverhook.ListFull, Servers: list}})
-	next := cloverhook.RequestID(0)
-	return p, func(now float64, parts int) []cloverhook.Event {
+	p := decision.New(s, 7)
+	p.Handle(100, []decision.Event{decision.List{Mode: decision.ListFull, Servers: list}})
+	next := decision.RequestID(0)
+	return p, func(now float64, parts int) []decision.Event {
 		next += 1000
-		ev := []cloverhook.Event{cloverhook.Query{ID: next, Number: int64(next), Parts: parts, Deadline: now + 2}}
+		ev := []decision.Event{decision.Query{ID: next, Number: int64(next), Parts: parts, Deadline: now + 2}}
 		for i := range parts {
-			ev = append(ev, cloverhook.Part{ID: next + 1 + cloverhook.RequestID(i), Number: int64(next), Shard: i,
+			ev = append(ev, decision.Part{ID: next + 1 + decision.RequestID(i), Number: int64(next), Shard: i,
 				Weight: 1 / float64(parts)})
 		}
 		return ev
@@ -39,19 +39,19 @@
 	const n = 200
 	p, query := fleetRig(t, n)
 	now := 101.0
-	answer := func(s cloverhook.Send) {
+	answer := func(s decision.Send) {
 		now += 0.0002
-		p.Handle(now, []cloverhook.Event{cloverhook.Ended{ID: s.ID, Server: s.Server, Status: cloverhook.OK,
-			Latency: 0.026, Closed: true, Load: cloverhook.NoLoad}})
+		p.Handle(now, []decision.Event{decision.Ended{ID: s.ID, Server: s.Server, Status: decision.OK,
+			Latency: 0.026, Closed: true, Load: decision.NoLoad}})
 	}
 	for range 2 { // the first fills the figures
 		out := sends(p.Handle(now, query(now, n)))
 		for _, s := range out[1:] { // of those that go ahead; the first is answered below
-			out = append(out, sends(p.Handle(now, []cloverhook.Event{cloverhook.Ended{ID: s.ID, Server: s.Server,
-				Status: cloverhook.OK, Latency: 0.026, Closed: true, Load: cloverhook.NoLoad}}))...)
+			out = append(out, sends(p.Handle(now, []decision.Event{decision.Ended{ID: s.ID, Server: s.Server,
+				Status: decision.OK, Latency: 0.026, Closed: true, Load: decision.NoLoad}}))...)
 			now += 0.0002
 		}
-		if out = slices.DeleteFunc(out, func(s cloverhook.Send) bool { return s.ID%1000 != 1 && (s.ID-1)%20 == 0 }); len(out) < n*9/10 {
+		if out = slices.DeleteFunc(out, func(s decision.Send) bool { return s.ID%1000 != 1 && (s.ID-1)%20 == 0 }); len(out) < n*9/10 {
 			t.Fatalf("%d parts sent, want nearly %d", len(out), n)
 		}
 		i := 0
@@ -72,7 +72,7 @@
 // sees much of each server: of few brokers, the one that refused meets it again, and knows what it can bear.
 func TestLateRepeatsYieldToFirstTries(t *testing.T) {
 	s := settings()
-	s.Classes[0] = cloverhook.Class{Aim: 0.4, Deadline: 1.4, Need: 1, Floor: 1, Worth: 1}
+	s.Classes[0] = decision.Class{Aim: 0.4, Deadline: 1.4, Need: 1, Floor: 1, Worth: 1}
 	for _, c := range []struct {
 		servers        int
 		pace, patience float64
@@ -82,14 +82,14 @@
 		served := 0
 		for i := range 200 {
 			_, ev := r.query(0, 1)
-			q := ev[0].(cloverhook.Query)
+			q := ev[0].(decision.Query)
 			if q.Deadline = r.now + 1.1; i >= 100 {
 				q.Deadline = r.now + c.patience
 			}
 			ev[0] = q
 			for _, snd := range sends(r.at(r.now+0.1, ev...)) {
 				r.now += c.pace
-				r.handle(ended(snd.ID, 0, snd.Server, cloverhook.OK, c.pace))
+				r.handle(ended(snd.ID, 0, snd.Server, decision.OK, c.pace))
 				if i >= 100 {
 					served++
 				}
@@ -108,8 +108,8 @@
 	for b.Loop() {
 		for _, s := range sends(p.Handle(now, query(now, 200))) {
 			now += 0.0002
-			p.Handle(now, []cloverhook.Event{cloverhook.Ended{ID: s.ID, Server: s.Server, Status: cloverhook.OK,
-				Latency: 0.026, Closed: true, Load: cloverhook.NoLoad}})
+			p.Handle(now, []decision.Event{decision.Ended{ID: s.ID, Server: s.Server, Status: decision.OK,
+				Latency: 0.026, Closed: true, Load: decision.NoLoad}})
 		}
 		now += 1
 	}
@@ -119,18 +119,18 @@
 // full. When all sent their wide queries whole, each made the others late. A few parts go ahead and tell.
 func TestAWideQuerySendsItsOtherPartsOnceThoseAheadAreBack(t *testing.T) {
 	const n = 200
-	served := func(now float64, p *cloverhook.Policy, out []cloverhook.Send) []cloverhook.Action {
-		var back []cloverhook.Event
+	served := func(now float64, p *decision.Policy, out []decision.Send) []decision.Action {
+		var back []decision.Event
 		for _, s := range out {
-			back = append(back, cloverhook.Ended{ID: s.ID, Server: s.Server, Status: cloverhook.OK, Latency: 0.03,
-				Closed: true, Load: cloverhook.NoLoad})
+			back = append(back, decision.Ended{ID: s.ID, Server: s.Server, Status: decision.OK, Latency: 0.03,
+				Closed: true, Load: decision.NoLoad})
 		}
 		return p.Handle(now, back)
 	}
 	p, query := fleetRig(t, n)
 	ahead := sends(p.Handle(101, query(101, n)))
 	require.Len(t, ahead, n/20)
-	shards := map[cloverhook.RequestID]bool{}
+	shards := map[decision.RequestID]bool{}
 	for _, s := range ahead {
 		shards[s.ID] = true
 	}
@@ -142,10 +142,10 @@
 	ahead = sends(p.Handle(101, query(101, n)))
 	served(101.1, p, ahead[:5])
 	var refused bool
-	for _, a := range p.Handle(101.13, []cloverhook.Event{cloverhook.Timer{Token: 1}}) { // a quarter of the aim is over
-		_, sent := a.(cloverhook.Send)
+	for _, a := range p.Handle(101.13, []decision.Event{decision.Timer{Token: 1}}) { // a quarter of the aim is over
+		_, sent := a.(decision.Send)
 		require.False(t, sent)
-		_, r := a.(cloverhook.Refuse)
+		_, r := a.(decision.Refuse)
 		refused = refused || r
 	}
 	require.True(t, refused, "at once, not at its aim")
@@ -165,19 +165,19 @@
 	for _, lag := range []float64{0, 0.02} {
 		p, query := fleetRig(t, 200)
 		ev := query(101, 10)
-		q := ev[0].(cloverhook.Query)
+		q := ev[0].(decision.Query)
 		q.Came = 101 - lag
 		ev[0] = q
-		var back []cloverhook.Event
+		var back []decision.Event
 		for _, s := range sends(p.Handle(101, ev))[:9] {
-			back = append(back, cloverhook.Ended{ID: s.ID, Server: s.Server, Status: cloverhook.OK, Latency: 0.03,
-				Closed: true, Load: cloverhook.NoLoad})
+			back = append(back, decision.Ended{ID: s.ID, Server: s.Server, Status: decision.OK, Latency: 0.03,
+				Closed: true, Load: decision.NoLoad})
 		}
 		p.Handle(101.1, back)
 		due := q.Came + 0.5 - lag // the class's aim
 		answered := func(at float64) (yes bool) {
-			for _, a := range p.Handle(at, []cloverhook.Event{cloverhook.Timer{Token: 1}}) {
-				_, ok := a.(cloverhook.Answer)
+			for _, a := range p.Handle(at, []decision.Event{decision.Timer{Token: 1}}) {
+				_, ok := a.(decision.Answer)
 				yes = yes || ok
 			}
 			return yes
--- /dev/null
+++ b/internal/decision/helpers_test.go
@@ -0,0 +1,115 @@
+package decision_test
+
+import (
+	"fmt"
+	"testing"
+
+	"mothrouter/internal/decision"
+)
+
+// rig drives one Policy with events and keeps what it did.
+type rig struct {
+	t        *testing.T
+	p        *decision.Policy
+	now      float64
+	attempts map[decision.RequestID]int
+	nextID   decision.RequestID
+	number   int64
+}
+
+// settings of a plain deployment: one cell, safe queries that need every part.
+func settings() decision.Settings {
+	return decision.Settings{
+		Classes: []decision.Class{{Aim: 1, Deadline: 2, Need: 1, Floor: 1}},
+		Brokers: 1, Cells: 1, Reach: 1, BatchMax: 1, MaxAttempts: 3, Tick: 0.005, MayCancel: true,
+		ColdShare: 0.25, WarmUp: 10, FallMultiple: 2, FallTime: 1,
+	}
+}
+
+func newRig(t *testing.T, s decision.Settings, servers ...decision.Server) *rig {
+	r := &rig{t: t, p: decision.New(s, 7), attempts: map[decision.RequestID]int{}, nextID: 100, now: 100}
+	r.handle(decision.List{Mode: decision.ListFull, Servers: servers})
+	return r
+}
+
+func servers(n int) []decision.Server {
+	var list []decision.Server
+	for i := range n {
+		list = append(list, decision.Server{ID: fmt.Sprint("s", i)})
+	}
+	return list
+}
+
+// handle passes events and returns the actions, without timers.
+func (r *rig) handle(events ...decision.Event) []decision.Action {
+	var kept []decision.Action
+	for _, a := range r.p.Handle(r.now, events) {
+		if _, ok := a.(decision.SetTimer); !ok {
+			kept = append(kept, a)
+		}
+	}
+	return kept
+}
+
+// at moves the clock and passes events.
+func (r *rig) at(now float64, events ...decision.Event) []decision.Action {
+	r.now = now
+	return r.handle(events...)
+}
+
+// query makes a query with n parts of equal weight, all at the given shard.
+func (r *rig) query(class, n int) (decision.RequestID, []decision.Event) {
+	r.number++
+	r.nextID += 100
+	id := r.nextID
+	deadline := r.now + 2
+	events := []decision.Event{
+		decision.Query{ID: id, Number: r.number, Class: class, Parts: n, Deadline: deadline},
+	}
+	for i := range n {
+		events = append(events, decision.Part{
+			ID: id + 1 + decision.RequestID(i), Number: r.number, Shard: 0, Weight: 1 / float64(n),
+		})
+	}
+	return id, events
+}
+
+func ended(id decision.RequestID, n int, server string, st decision.Status, lat float64,
+) decision.Ended {
+	return decision.Ended{ID: id, Attempt: n, Server: server, Status: st, Latency: lat,
+		Closed: st == decision.OK, Load: decision.NoLoad}
+}
+
+func sends(actions []decision.Action) []decision.Send {
+	var list []decision.Send
+	for _, a := range actions {
+		if s, ok := a.(decision.Send); ok {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// finals are the final answers among actions.
+func finals(actions []decision.Action) []decision.Action {
+	var list []decision.Action
+	for _, a := range actions {
+		switch a.(type) {
+		case decision.Answer, decision.Refuse, decision.Fail:
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+// warm sends and answers queries one by one so that latencies are known.
+func (r *rig) warm(n int, latency float64) {
+	for range n {
+		_, ev := r.query(0, 1)
+		out := sends(r.handle(ev...))
+		r.now += latency
+		for _, s := range out {
+			r.handle(ended(s.ID, 0, s.Server, decision.OK, latency))
+		}
+	}
+}
--- a/policy.go
+++ b/internal/decision/policy.go
@@ -1,4 +1,4 @@
-package cloverhook
+package decision
 
 // The module: every decision. Its interface (settings, events, actions) is in api.go. Each part drops
 // unsuitable replicas and draws one in proportion to weight = fitness x factors; docs/design.md tells why.
@@ -10,7 +10,7 @@
 	"math/rand/v2"
 	"slices"
 
-	"cloverhook/internal/recent"
+	"mothrouter/internal/recent"
 )
 
 const (
--- a/rules_test.go
+++ b/internal/decision/rules_test.go
@@ -1,23 +1,23 @@
-package cloverhook_test
+package decision_test
 
 import (
 	"math"
 	"reflect"
 	"testing"
 
-	"cloverhook"
+	"mothrouter/internal/decision"
 )
 
 func TestEveryQueryGetsOneFinalAnswerInTime(t *testing.T) {
 	cases := []struct {
 		name   string
-		status cloverhook.Status
+		status decision.Status
 		answer bool // outcomes come at all
 	}{
-		{"servers answer", cloverhook.OK, true},
-		{"servers fail", cloverhook.Error, true},
-		{"servers are full", cloverhook.Overloaded, true},
-		{"servers hang", cloverhook.OK, false},
+		{"servers answer", decision.OK, true},
+		{"servers fail", decision.Error, true},
+		{"servers are full", decision.Overloaded, true},
+		{"servers hang", decision.OK, false},
 	}
 	for _, c := range cases {
 		for _, late := range []float64{0, 0.5} {
@@ -28,7 +28,7 @@
 				start := r.now
 				id, ev := r.query(0, 3)
 				queue := r.handle(ev...)
-				var got []cloverhook.Action
+				var got []decision.Action
 				for r.now < start+2.5 {
 					answers := finals(queue)
 					got = append(got, answers...)
@@ -38,7 +38,7 @@
 					if len(answers) > 0 && r.now > start+2 {
 						t.Fatalf("final answer at %g, after the client's deadline", r.now-start)
 					}
-					var next []cloverhook.Event
+					var next []decision.Event
 					for _, snd := range sends(queue) {
 						if c.answer {
 							next = append(next, ended(snd.ID, r.attempts[snd.ID], snd.Server, c.status, 0.01))
@@ -59,11 +59,11 @@
 	r := newRig(t, settings(), servers(2)...)
 	id, ev := r.query(0, 2)
 	r.handle(ev...)
-	got := r.handle(cloverhook.ClientGone{ID: id})
+	got := r.handle(decision.ClientGone{ID: id})
 	if len(finals(got)) != 0 || len(got) != 2 {
 		t.Errorf("after the client left: %v, want two cancels only", got)
 	}
-	if got := r.at(r.now+3, cloverhook.ClientGone{ID: id}); len(got) != 0 {
+	if got := r.at(r.now+3, decision.ClientGone{ID: id}); len(got) != 0 {
 		t.Errorf("a second notice led to %v", got)
 	}
 }
@@ -71,23 +71,23 @@
 func TestUnsafeAndKeyedRepeats(t *testing.T) {
 	cases := []struct {
 		name   string
-		repeat cloverhook.Repeat
-		status cloverhook.Status
+		repeat decision.Repeat
+		status decision.Status
 		after  float64 // time from the send to the outcome
 		resend bool
 		refuse bool // the final answer may be a refusal
 	}{
-		{"unsafe, never ran", cloverhook.RepeatUnsafe, cloverhook.Overloaded, 0.1, true, true},
-		{"unsafe, no connection", cloverhook.RepeatUnsafe, cloverhook.Unreachable, 0.1, true, true},
-		{"unsafe, not sent", cloverhook.RepeatUnsafe, cloverhook.NotSent, 0.1, true, true},
-		{"unsafe, error", cloverhook.RepeatUnsafe, cloverhook.Error, 0.1, false, false},
-		{"unsafe, reset", cloverhook.RepeatUnsafe, cloverhook.Reset, 0.1, false, false},
-		{"unsafe, timed out", cloverhook.RepeatUnsafe, cloverhook.TimedOut, 0.1, false, false},
-		{"unsafe, cancelled", cloverhook.RepeatUnsafe, cloverhook.Cancelled, 0.1, false, false},
-		{"keyed, within its window", cloverhook.RepeatKeyed, cloverhook.Error, 0.29, true, false},
-		{"keyed, past its window", cloverhook.RepeatKeyed, cloverhook.Error, 0.31, false, false},
-		{"keyed, never ran", cloverhook.RepeatKeyed, cloverhook.Unreachable, 0.31, true, true},
-		{"safe", cloverhook.RepeatSafe, cloverhook.Error, 0.31, true, true},
+		{"unsafe, never ran", decision.RepeatUnsafe, decision.Overloaded, 0.1, true, true},
+		{"unsafe, no connection", decision.RepeatUnsafe, decision.Unreachable, 0.1, true, true},
+		{"unsafe, not sent", decision.RepeatUnsafe, decision.NotSent, 0.1, true, true},
+		{"unsafe, error", decision.RepeatUnsafe, decision.Error, 0.1, false, false},
+		{"unsafe, reset", decision.RepeatUnsafe, decision.Reset, 0.1, false, false},
+		{"unsafe, timed out", decision.RepeatUnsafe, decision.TimedOut, 0.1, false, false},
+		{"unsafe, cancelled", decision.RepeatUnsafe, decision.Cancelled, 0.1, false, false},
+		{"keyed, within its window", decision.RepeatKeyed, decision.Error, 0.29, true, false},
+		{"keyed, past its window", decision.RepeatKeyed, decision.Error, 0.31, false, false},
+		{"keyed, never ran", decision.RepeatKeyed, decision.Unreachable, 0.31, true, true},
+		{"safe", decision.RepeatSafe, decision.Error, 0.31, true, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -109,7 +109,7 @@
 				got = r.at(r.now+0.01, ended(again[0].ID, n, again[0].Server, c.status, 0.01))
 				n++
 			}
-			_, refused := finals(got)[0].(cloverhook.Refuse)
+			_, refused := finals(got)[0].(decision.Refuse)
 			if refused != c.refuse {
 				t.Errorf("final answer %v, want a refusal: %v", finals(got)[0], c.refuse)
 			}
@@ -119,7 +119,7 @@
 
 func TestUnsafeQueryWithAttemptOutFailsAtItsEnd(t *testing.T) {
 	s := settings()
-	s.Classes[0].Repeat = cloverhook.RepeatUnsafe
+	s.Classes[0].Repeat = decision.RepeatUnsafe
 	r := newRig(t, s, servers(2)...)
 	_, ev := r.query(0, 1)
 	r.handle(ev...)
@@ -127,7 +127,7 @@
 	if len(got) != 1 {
 		t.Fatalf("final answers %v, want one", got)
 	}
-	if _, ok := got[0].(cloverhook.Fail); !ok {
+	if _, ok := got[0].(decision.Fail); !ok {
 		t.Errorf("final answer %T, want Fail: the part may have run", got[0])
 	}
 }
@@ -135,11 +135,11 @@
 func TestNothingGoesToDrainingOrGoneServers(t *testing.T) {
 	for _, c := range []struct {
 		name string
-		news cloverhook.List
+		news decision.List
 	}{
-		{"draining", cloverhook.List{Servers: []cloverhook.Server{{ID: "s0", State: cloverhook.Draining}}}},
-		{"gone", cloverhook.List{Servers: []cloverhook.Server{{ID: "s0", State: cloverhook.Gone}}}},
-		{"missing from a full list", cloverhook.List{Mode: cloverhook.ListFull, Servers: servers(2)[1:]}},
+		{"draining", decision.List{Servers: []decision.Server{{ID: "s0", State: decision.Draining}}}},
+		{"gone", decision.List{Servers: []decision.Server{{ID: "s0", State: decision.Gone}}}},
+		{"missing from a full list", decision.List{Mode: decision.ListFull, Servers: servers(2)[1:]}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r := newRig(t, settings(), servers(2)...)
@@ -150,7 +150,7 @@
 					if snd.Server != "s1" {
 						t.Fatalf("sent to %s", snd.Server)
 					}
-					r.at(r.now+0.01, ended(snd.ID, 0, snd.Server, cloverhook.OK, 0.01))
+					r.at(r.now+0.01, ended(snd.ID, 0, snd.Server, decision.OK, 0.01))
 				}
 			}
 		})
@@ -160,28 +160,28 @@
 func TestAskedListIsWatchedAndAskedAgain(t *testing.T) {
 	s := settings()
 	s.AskForList, s.AskWithin = true, 10
-	p := cloverhook.New(s, 1)
-	watches := func(now float64, e ...cloverhook.Event) (n int) {
+	p := decision.New(s, 1)
+	watches := func(now float64, e ...decision.Event) (n int) {
 		for _, a := range p.Handle(now, e) {
-			if w, ok := a.(cloverhook.Watch); ok && w.On {
+			if w, ok := a.(decision.Watch); ok && w.On {
 				n++
 			}
 		}
 		return n
 	}
-	if watches(5, cloverhook.List{Mode: cloverhook.ListCached, Servers: servers(2)}) != 1 {
+	if watches(5, decision.List{Mode: decision.ListCached, Servers: servers(2)}) != 1 {
 		t.Fatal("no subscription at the start")
 	}
-	if watches(5.1, cloverhook.List{Mode: cloverhook.ListFailed}) != 0 {
+	if watches(5.1, decision.List{Mode: decision.ListFailed}) != 0 {
 		t.Error("asked again at once after a failure")
 	}
 	if watches(8.5) != 1 {
 		t.Error("not asked again within a third of the time allowed")
 	}
-	if watches(8.6, cloverhook.List{Mode: cloverhook.ListDelta})+watches(60) != 0 {
+	if watches(8.6, decision.List{Mode: decision.ListDelta})+watches(60) != 0 {
 		t.Error("asked again although subscribed")
 	}
-	if watches(61, cloverhook.List{Mode: cloverhook.ListFailed})+watches(65) != 1 {
+	if watches(61, decision.List{Mode: decision.ListFailed})+watches(65) != 1 {
 		t.Error("not asked again after the subscription broke")
 	}
 }
@@ -190,8 +190,8 @@
 	s := settings()
 	r := newRig(t, s, servers(4)...)
 	r.warm(200, 0.02)
-	cold := cloverhook.Server{ID: "s0", Started: r.now}
-	r.handle(cloverhook.List{Servers: []cloverhook.Server{cold}})
+	cold := decision.Server{ID: "s0", Started: r.now}
+	r.handle(decision.List{Servers: []decision.Server{cold}})
 	start, toCold, toAll := r.now, 0, 0
 	for r.now < start+1 {
 		_, ev := r.query(0, 1)
@@ -200,7 +200,7 @@
 			if snd.Server == "s0" {
 				toCold++
 			}
-			r.at(r.now+0.02, ended(snd.ID, 0, snd.Server, cloverhook.OK, 0.02))
+			r.at(r.now+0.02, ended(snd.ID, 0, snd.Server, decision.OK, 0.02))
 		}
 	}
 	// Warm servers were seen to take a quarter of some 50 a second each; the cold one has a quarter of that.
@@ -211,7 +211,7 @@
 }
 
 func TestAllReplicasColdHoldsParts(t *testing.T) {
-	s0, s1 := cloverhook.Server{ID: "s0", Started: 99.9}, cloverhook.Server{ID: "s1", Started: 99.9}
+	s0, s1 := decision.Server{ID: "s0", Started: 99.9}, decision.Server{ID: "s1", Started: 99.9}
 	r := newRig(t, settings(), s0, s1)
 	_, ev := r.query(0, 8)
 	if n := len(sends(r.handle(ev...))); n > 4 {
@@ -228,14 +228,14 @@
 		name        string
 		need, floor float64
 		in, parts   int
-		want        cloverhook.Action // with ID 0; nil: no answer before the end
+		want        decision.Action // with ID 0; nil: no answer before the end
 	}{
-		{"whole", 1, 1, 4, 4, cloverhook.Answer{Whole: true}},
-		{"all needed, one missing", 1, 1, 3, 4, cloverhook.Refuse{}},
-		{"partial at its floor", 1, 0.5, 2, 4, cloverhook.Answer{}},
-		{"partial under its floor", 1, 0.5, 1, 4, cloverhook.Refuse{}},
-		{"need under one", 0.5, 0.5, 2, 4, cloverhook.Answer{Whole: true}},
-		{"thirds add up", 1, 1, 3, 3, cloverhook.Answer{Whole: true}},
+		{"whole", 1, 1, 4, 4, decision.Answer{Whole: true}},
+		{"all needed, one missing", 1, 1, 3, 4, decision.Refuse{}},
+		{"partial at its floor", 1, 0.5, 2, 4, decision.Answer{}},
+		{"partial under its floor", 1, 0.5, 1, 4, decision.Refuse{}},
+		{"need under one", 0.5, 0.5, 2, 4, decision.Answer{Whole: true}},
+		{"thirds add up", 1, 1, 3, 3, decision.Answer{Whole: true}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -244,17 +244,17 @@
 			r := newRig(t, s, servers(3)...)
 			id, ev := r.query(0, c.parts)
 			out := sends(r.handle(ev...))
-			var got []cloverhook.Action
+			var got []decision.Action
 			for i := range c.in {
-				got = append(got, finals(r.handle(ended(out[i].ID, 0, out[i].Server, cloverhook.OK, 0)))...)
+				got = append(got, finals(r.handle(ended(out[i].ID, 0, out[i].Server, decision.OK, 0)))...)
 			}
 			got = append(got, finals(r.at(r.now+1))...)
 			want := c.want
 			switch w := want.(type) {
-			case cloverhook.Answer:
+			case decision.Answer:
 				w.ID = id
 				want = w
-			case cloverhook.Refuse:
+			case decision.Refuse:
 				w.ID = id
 				want = w
 			}
@@ -283,31 +283,31 @@
 			r := newRig(t, s, servers(3)...)
 			id, ev := r.query(0, 4)
 			out := sends(r.handle(ev...))
-			var got []cloverhook.Action
+			var got []decision.Action
 			for i := range c.first {
-				got = append(got, finals(r.handle(ended(out[i].ID, 0, out[i].Server, cloverhook.OK, 0)))...)
+				got = append(got, finals(r.handle(ended(out[i].ID, 0, out[i].Server, decision.OK, 0)))...)
 			}
 			if c.first < 4 {
 				got = append(got, finals(r.at(r.now+1))...)
 			}
-			if len(got) != 1 || got[0] != (cloverhook.Answer{ID: id, Whole: c.first == 4}) {
+			if len(got) != 1 || got[0] != (decision.Answer{ID: id, Whole: c.first == 4}) {
 				t.Fatalf("first answer %v", got)
 			}
 			out = sends(r.at(r.now+0.01,
-				cloverhook.Part{ID: id + 50, Number: r.number, Weight: 0.5},
-				cloverhook.Part{ID: id + 51, Number: r.number, Weight: 0.5}))
+				decision.Part{ID: id + 50, Number: r.number, Weight: 0.5},
+				decision.Part{ID: id + 51, Number: r.number, Weight: 0.5}))
 			if len(out) != 2 {
 				t.Fatalf("second step sent %d parts, want 2", len(out))
 			}
 			got = nil
 			for i := range c.then {
-				got = append(got, finals(r.handle(ended(out[i].ID, 0, out[i].Server, cloverhook.OK, 0)))...)
+				got = append(got, finals(r.handle(ended(out[i].ID, 0, out[i].Server, decision.OK, 0)))...)
 			}
 			got = append(got, finals(r.at(r.now+2))...)
 			if len(got) != 1 {
 				t.Fatalf("final answers %v, want one", got)
 			}
-			a, ok := got[0].(cloverhook.Answer)
+			a, ok := got[0].(decision.Answer)
 			if ok != c.answered || ok && a.Whole != c.whole {
 				t.Errorf("final answer %v, want answered %v, whole %v", got[0], c.answered, c.whole)
 			}
@@ -317,14 +317,14 @@
 
 func TestUnsafeQueryIsNotRefusedAfterItsFirstStep(t *testing.T) {
 	s := settings()
-	s.Classes[0].Repeat, s.Classes[0].SecondStep = cloverhook.RepeatUnsafe, 1
+	s.Classes[0].Repeat, s.Classes[0].SecondStep = decision.RepeatUnsafe, 1
 	r := newRig(t, s, servers(2)...)
 	id, ev := r.query(0, 1)
 	out := sends(r.handle(ev...))
-	r.handle(ended(out[0].ID, 0, out[0].Server, cloverhook.OK, 0))
-	r.handle(cloverhook.Part{ID: id + 50, Number: r.number, Weight: 1})
-	r.handle(cloverhook.List{Mode: cloverhook.ListFull}) // no server is left
-	if got := finals(r.at(r.now + 1)); len(got) != 1 || got[0] != (cloverhook.Fail{ID: id}) {
+	r.handle(ended(out[0].ID, 0, out[0].Server, decision.OK, 0))
+	r.handle(decision.Part{ID: id + 50, Number: r.number, Weight: 1})
+	r.handle(decision.List{Mode: decision.ListFull}) // no server is left
+	if got := finals(r.at(r.now + 1)); len(got) != 1 || got[0] != (decision.Fail{ID: id}) {
 		t.Errorf("final answers %v, want one Fail: the first step has run", got)
 	}
 }
@@ -334,7 +334,7 @@
 	s.Budget, s.BudgetFree, s.BudgetShare, s.BudgetSpan = true, 2, 0.25, 1
 	r := newRig(t, s, servers(3)...)
 	var taken, extra []float64
-	var queue []cloverhook.Send
+	var queue []decision.Send
 	for range 400 {
 		_, ev := r.query(0, 1)
 		taken = append(taken, r.now, r.now)
@@ -346,7 +346,7 @@
 			}
 			r.attempts[snd.ID]++
 			queue = append(queue[1:],
-				sends(r.handle(ended(snd.ID, r.attempts[snd.ID]-1, snd.Server, cloverhook.Error, 0)))...)
+				sends(r.handle(ended(snd.ID, r.attempts[snd.ID]-1, snd.Server, decision.Error, 0)))...)
 		}
 		queue = sends(r.at(r.now + 0.0625)) // a sixteenth: sixteen steps are exactly one window
 	}
@@ -379,13 +379,13 @@
 		first := sends(r.handle(ev...))[0]
 		got := r.at(r.now + 0.5) // ten times the usual, and the server is silent
 		if !copies {             // the attempt is given up first, and only its end lets another go
-			if len(got) != 1 || got[0] != (cloverhook.Cancel{ID: first.ID}) {
+			if len(got) != 1 || got[0] != (decision.Cancel{ID: first.ID}) {
 				t.Fatalf("%v, want the running attempt cancelled", got)
 			}
 			if again := r.at(r.now + 0.01); len(again) != 0 {
 				t.Errorf("%v before the cancelled attempt has ended", again)
 			}
-			got = r.handle(ended(first.ID, 0, first.Server, cloverhook.Cancelled, 0.5))
+			got = r.handle(ended(first.ID, 0, first.Server, decision.Cancelled, 0.5))
 		}
 		if n := len(sends(got)); n != 1 {
 			t.Fatalf("copies allowed %v: %v, want one more attempt", copies, got)
@@ -397,16 +397,16 @@
 }
 
 func TestEqualEventsGiveEqualActions(t *testing.T) {
-	run := func(seed uint64) (all []cloverhook.Action) {
+	run := func(seed uint64) (all []decision.Action) {
 		r := newRig(t, settings(), servers(5)...)
-		r.p = cloverhook.New(settings(), seed)
-		r.handle(cloverhook.List{Mode: cloverhook.ListFull, Servers: servers(5)})
+		r.p = decision.New(settings(), seed)
+		r.handle(decision.List{Mode: decision.ListFull, Servers: servers(5)})
 		for range 50 {
 			_, ev := r.query(0, 4)
 			got := r.handle(ev...)
 			all = append(all, got...)
 			for _, snd := range sends(got) {
-				all = append(all, r.at(r.now+0.01, ended(snd.ID, 0, snd.Server, cloverhook.OK, 0.01))...)
+				all = append(all, r.at(r.now+0.01, ended(snd.ID, 0, snd.Server, decision.OK, 0.01))...)
 			}
 		}
 		return all
@@ -421,13 +421,13 @@
 
 func TestDrawIsProportionalToFitness(t *testing.T) {
 	s := settings()
-	s.ReportMode = cloverhook.ReportPiggyback
+	s.ReportMode = decision.ReportPiggyback
 	busy := []float64{0, 0.2, 0.5}
 	for _, batch := range []int{1, 8} {
 		s.BatchMax = batch
 		r := newRig(t, s, servers(3)...)
-		load := func(server string) cloverhook.Load {
-			l := cloverhook.NoLoad
+		load := func(server string) decision.Load {
+			l := decision.NoLoad
 			l.Busy, l.Queue = busy[server[1]-'0'], 0
 			return l
 		}
@@ -446,7 +446,7 @@
 			}
 			for _, snd := range out {
 				count[snd.Server]++
-				e := ended(snd.ID, 0, snd.Server, cloverhook.OK, 0)
+				e := ended(snd.ID, 0, snd.Server, decision.OK, 0)
 				e.Load = load(snd.Server)
 				r.handle(e)
 			}
@@ -487,7 +487,7 @@
 				t.Fatalf("attempt %d goes to a replica that was asked just now", n)
 			}
 			order, asked[last.Server] = append(order, last.Server), r.now
-			queue = sends(r.at(r.now+0.001, ended(last.ID, n, last.Server, cloverhook.Error, 0)))
+			queue = sends(r.at(r.now+0.001, ended(last.ID, n, last.Server, decision.Error, 0)))
 			if len(queue) == 0 {
 				queue = sends(r.at(r.now + 0.02))
 			}
@@ -504,17 +504,17 @@
 
 func TestPullSitesAreProbedEveryTenSeconds(t *testing.T) {
 	s := settings()
-	s.ReportMode, s.MayProbe = cloverhook.ReportPull, true
-	p := cloverhook.New(s, 1)
-	probes := func(now float64, e ...cloverhook.Event) (n int) {
+	s.ReportMode, s.MayProbe = decision.ReportPull, true
+	p := decision.New(s, 1)
+	probes := func(now float64, e ...decision.Event) (n int) {
 		for _, a := range p.Handle(now, e) {
-			if _, ok := a.(cloverhook.Probe); ok {
+			if _, ok := a.(decision.Probe); ok {
 				n++
 			}
 		}
 		return n
 	}
-	if n := probes(0, cloverhook.List{Mode: cloverhook.ListFull, Servers: servers(4)}); n != 4 {
+	if n := probes(0, decision.List{Mode: decision.ListFull, Servers: servers(4)}); n != 4 {
 		t.Errorf("%d probes at the start, want 4", n)
 	}
 	if n := probes(9.9); n != 0 {
--- a/shared_test.go
+++ b/internal/decision/shared_test.go
@@ -1,11 +1,11 @@
-package cloverhook_test
+package decision_test
 
 import (
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
-	"cloverhook"
+	"mothrouter/internal/decision"
 )
 
 // Hearsay moves the draw away from a server that another loop of the process saw fail, unless this one knows
@@ -19,13 +19,13 @@
 					n++
 				}
 				r.now += 0.001
-				r.handle(ended(s.ID, 0, s.Server, cloverhook.OK, 0.001))
+				r.handle(ended(s.ID, 0, s.Server, decision.OK, 0.001))
 			}
 		}
 		return n
 	}
 	heard := func(r *rig, at, failed, weight float64) {
-		r.handle(cloverhook.Heard{Server: "s0", At: at, Failed: failed, Weight: weight, Load: cloverhook.NoLoad})
+		r.handle(decision.Heard{Server: "s0", At: at, Failed: failed, Weight: weight, Load: decision.NoLoad})
 	}
 	r := newRig(t, settings(), servers(2)...)
 	require.InDelta(t, 50, share(r), 20)
@@ -37,8 +37,8 @@
 	heard(r, r.now+0.001, 0, 1)
 	require.Greater(t, share(r), 30)
 	heard(r, r.now, 1, 1)
-	r.handle(cloverhook.Heard{Server: "unheard-of", At: r.now, Failed: 1, Weight: 1, Load: cloverhook.NoLoad})
-	r.handle(cloverhook.List{Servers: []cloverhook.Server{{ID: "s0", Started: r.now + 1}}})
+	r.handle(decision.Heard{Server: "unheard-of", At: r.now, Failed: 1, Weight: 1, Load: decision.NoLoad})
+	r.handle(decision.List{Servers: []decision.Server{{ID: "s0", Started: r.now + 1}}})
 	heard(r, r.now, 1, 0.75) // of the process before
 	r.now += 30              // warm again
 	require.Greater(t, share(r), 30)
@@ -48,19 +48,19 @@
 func TestRoomOfASharedBudget(t *testing.T) {
 	r := newRig(t, settings(), servers(1)...)
 	r.warm(50, 0.01) // by its own estimate it would send several a second
-	r.handle(cloverhook.List{Servers: []cloverhook.Server{{ID: "s0", Started: r.now}}})
-	try := func(events ...cloverhook.Event) int {
+	r.handle(decision.List{Servers: []decision.Server{{ID: "s0", Started: r.now}}})
+	try := func(events ...decision.Event) int {
 		_, ev := r.query(0, 6)
 		out := sends(r.handle(append(events, ev...)...))
 		for _, snd := range out {
-			r.handle(ended(snd.ID, 0, snd.Server, cloverhook.OK, 0.01))
+			r.handle(ended(snd.ID, 0, snd.Server, decision.OK, 0.01))
 		}
 		return len(out)
 	}
-	require.Equal(t, 2, try(cloverhook.Allowance{Server: "s0", Parts: 2, Until: r.now + 0.1}))
+	require.Equal(t, 2, try(decision.Allowance{Server: "s0", Parts: 2, Until: r.now + 0.1}))
 	require.Zero(t, try())
-	require.Equal(t, 3, try(cloverhook.Allowance{Server: "s0", Parts: 3, Until: r.now + 0.1}))
-	require.Zero(t, try(cloverhook.Allowance{Server: "s0", Parts: 3, Until: r.now - 0.01}), "the lease has expired")
+	require.Equal(t, 3, try(decision.Allowance{Server: "s0", Parts: 3, Until: r.now + 0.1}))
+	require.Zero(t, try(decision.Allowance{Server: "s0", Parts: 3, Until: r.now - 0.01}), "the lease has expired")
 	r.now += 20
 	require.Equal(t, 6, try(), "warm again: no lease is needed")
 }
@@ -68,18 +68,18 @@
 // Where brokers know of each other, one that has seen no answer yet tries a cold server as rarely as there are many; one
 // that is told of a fleet too large to have a part of it does not at all. Nothing else hangs on their number.
 func TestTheFleetsSizeIsHeard(t *testing.T) {
-	tries := func(events ...cloverhook.Event) (n int) {
+	tries := func(events ...decision.Event) (n int) {
 		for seed := range uint64(400) {
 			r := newRig(t, settings(), servers(1)...)
-			r.p = cloverhook.New(settings(), seed)
-			r.handle(append(events, cloverhook.List{Mode: cloverhook.ListFull,
-				Servers: []cloverhook.Server{{ID: "s0", Started: r.now}}})...)
+			r.p = decision.New(settings(), seed)
+			r.handle(append(events, decision.List{Mode: decision.ListFull,
+				Servers: []decision.Server{{ID: "s0", Started: r.now}}})...)
 			_, ev := r.query(0, 1)
 			n += len(sends(r.handle(ev...)))
 		}
 		return n
 	}
 	require.Equal(t, 400, tries(), "the settings tell of one broker")
-	require.InDelta(t, 100, tries(cloverhook.Fleet{Brokers: 4}), 40)
-	require.Zero(t, tries(cloverhook.Fleet{Brokers: 100_000}))
+	require.InDelta(t, 100, tries(decision.Fleet{Brokers: 4}), 40)
+	require.Zero(t, tries(decision.Fleet{Brokers: 100_000}))
 }
--- a/size_test.go
+++ b/internal/decision/size_test.go
@@ -1,4 +1,4 @@
-package cloverhook_test
+package decision_test
 
 import (
 	"os"
--- a/turnover_test.go
+++ b/internal/decision/turnover_test.go
@@ -1,4 +1,4 @@
-package cloverhook
+package decision
 
 import (
 	"fmt"
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -14,11 +14,11 @@
 	"sync"
 	"time"
 
-	"cloverhook"
-	"cloverhook/internal/backoff"
-	"cloverhook/internal/broker"
-	"cloverhook/internal/httpwire"
-	"cloverhook/internal/listwatch"
+	"mothrouter/internal/backoff"
+	"mothrouter/internal/broker"
+	"mothrouter/internal/decision"
+	"mothrouter/internal/httpwire"
+	"mothrouter/internal/listwatch"
 )
 
 // dialLimit is as long as a call may take: a first packet that is lost is sent again after a second.
@@ -46,26 +46,26 @@
 	StartedMS float64 `json:"started_ms"`
 }
 
-var states = map[string]cloverhook.State{
-	"active": cloverhook.Ready, "leaving": cloverhook.Draining, "left": cloverhook.Gone,
+var states = map[string]decision.State{
+	"active": decision.Ready, "leaving": decision.Draining, "left": decision.Gone,
 }
 
 // List translates a message for the core.
 func (n Names) List(m Message) (broker.List, error) {
-	l := broker.List{Mode: cloverhook.ListDelta, Version: m.Version}
+	l := broker.List{Mode: decision.ListDelta, Version: m.Version}
 	if m.Full {
-		l.Mode = cloverhook.ListFull
+		l.Mode = decision.ListFull
 	}
 	for i, e := range m.Servers {
 		state, ok := states[e.State]
 		if !ok {
 			return l, fmt.Errorf("servers[%d].state: cannot read %q", i, e.State)
 		}
-		if e.ID == "" || e.Addr == "" && state != cloverhook.Gone {
+		if e.ID == "" || e.Addr == "" && state != decision.Gone {
 			return l, fmt.Errorf("servers[%d]: an entry without id or addr", i)
 		}
 		l.Servers = append(l.Servers, broker.ListEntry{
-			Server: cloverhook.Server{
+			Server: decision.Server{
 				ID: e.ID, Zone: slices.Index(n.Zones, e.Zone), Kind: slices.Index(n.Kinds, e.Kind),
 				Cell: e.Cell, State: state, Capacity: e.Weight, Started: e.StartedMS / 1000,
 			},
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -13,9 +13,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"cloverhook/internal/backoff"
-	"cloverhook/internal/broker"
-	"cloverhook/internal/discovery"
+	"mothrouter/internal/backoff"
+	"mothrouter/internal/broker"
+	"mothrouter/internal/discovery"
 )
 
 // directory stands in for discovery: it serves watches, counts when each was asked for, and can drop them all.
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"cloverhook/internal/drain"
+	"mothrouter/internal/drain"
 )
 
 func TestADrainGoesInStepsAndEndsAtOnce(t *testing.T) {
--- a/internal/evidence/evidence.go
+++ b/internal/evidence/evidence.go
@@ -11,7 +11,7 @@
 import (
 	"math"
 
-	"cloverhook"
+	"mothrouter/internal/decision"
 )
 
 const (
@@ -46,7 +46,7 @@
 type Seen struct {
 	Kind    Kind
 	Latency float64 // since the attempt was sent
-	Load    cloverhook.Load
+	Load    decision.Load
 }
 
 // view is what one worker knows of one server.
@@ -62,7 +62,7 @@
 type record struct {
 	id     string
 	views  []view
-	load   cloverhook.Load
+	load   decision.Load
 	loadAt float64
 	good   float64 // the latest answer to anyone
 }
@@ -83,7 +83,7 @@
 func (b *Board) record(id string) *record {
 	r := b.servers[id]
 	if r == nil {
-		r = &record{id: id, views: make([]view, b.workers), load: cloverhook.NoLoad, loadAt: never, good: never}
+		r = &record{id: id, views: make([]view, b.workers), load: decision.NoLoad, loadAt: never, good: never}
 		for i := range r.views {
 			r.views[i] = view{good: never, bad: never, heard: never, told: never, loadAt: never}
 		}
@@ -104,7 +104,7 @@
 func (b *Board) See(worker int, id string, now float64, s Seen) {
 	r := b.record(id)
 	v := &r.views[worker]
-	fresh := s.Load != cloverhook.NoLoad
+	fresh := s.Load != decision.NoLoad
 	if fresh {
 		r.load, r.loadAt, v.loadAt = s.Load, now, now
 	}
@@ -138,7 +138,7 @@
 func (b *Board) Waiting(worker int) bool { return len(b.queues[worker]) > 0 }
 
 // Take returns what a worker should hear now.
-func (b *Board) Take(worker int, now float64) (heard []cloverhook.Heard) {
+func (b *Board) Take(worker int, now float64) (heard []decision.Heard) {
 	queue := b.queues[worker]
 	keep := queue[:0]
 	for _, r := range queue {
@@ -162,9 +162,9 @@
 }
 
 // offer is what a worker should hear of a server, if anything.
-func (r *record) offer(worker int, now float64) (h cloverhook.Heard, ok bool) {
+func (r *record) offer(worker int, now float64) (h decision.Heard, ok bool) {
 	mine := &r.views[worker]
-	h = cloverhook.Heard{Server: r.id, Load: cloverhook.NoLoad}
+	h = decision.Heard{Server: r.id, Load: decision.NoLoad}
 	if r.loadAt > mine.loadAt && now-r.loadAt <= MaxAge && (mine.loadAt == never || r.loadAt-mine.loadAt >= loadAgain) {
 		h.Load, h.At, mine.loadAt, ok = r.load, r.loadAt, r.loadAt, true
 	}
--- a/internal/evidence/evidence_test.go
+++ b/internal/evidence/evidence_test.go
@@ -7,12 +7,12 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"cloverhook"
-	"cloverhook/internal/evidence"
+	"mothrouter/internal/decision"
+	"mothrouter/internal/evidence"
 )
 
 func see(kind evidence.Kind) evidence.Seen {
-	return evidence.Seen{Kind: kind, Latency: 0.02, Load: cloverhook.NoLoad}
+	return evidence.Seen{Kind: kind, Latency: 0.02, Load: decision.NoLoad}
 }
 
 func TestAFailureIsHeardByTheOthers(t *testing.T) {
@@ -61,7 +61,7 @@
 
 // A server that hangs ends no attempt. Waits that were given up tell of it, unless it answers others meanwhile.
 func TestSilenceIsToldFromSlowness(t *testing.T) {
-	given := evidence.Seen{Kind: evidence.Silent, Latency: 0.4, Load: cloverhook.NoLoad}
+	given := evidence.Seen{Kind: evidence.Silent, Latency: 0.4, Load: decision.NoLoad}
 	b := evidence.NewBoard(2)
 	for i := range 50 {
 		b.See(0, "other", 9+0.01*float64(i), see(evidence.Good))
@@ -82,7 +82,7 @@
 	n := 0
 	for i := range 100 {
 		now := 10 + 0.01*float64(i)
-		b.See(0, "s", now, evidence.Seen{Kind: evidence.Good, Latency: 0.01, Load: cloverhook.Load{Busy: now}})
+		b.See(0, "s", now, evidence.Seen{Kind: evidence.Good, Latency: 0.01, Load: decision.Load{Busy: now}})
 		for _, h := range b.Take(1, now) {
 			require.Equal(t, now, h.Load.Busy)
 			require.Zero(t, h.Weight)
@@ -116,7 +116,7 @@
 			if rapid.Bool().Draw(t, "sees") {
 				k := evidence.Kind(rapid.IntRange(0, 2).Draw(t, "kind"))
 				latency := rapid.Float64Range(0, 1).Draw(t, "latency")
-				b.See(w, fmt.Sprint(s), now, evidence.Seen{Kind: k, Latency: latency, Load: cloverhook.NoLoad})
+				b.See(w, fmt.Sprint(s), now, evidence.Seen{Kind: k, Latency: latency, Load: decision.NoLoad})
 				if k != evidence.Silent {
 					own[w][s] = now
 				}
@@ -148,7 +148,7 @@
 	for i := range ids {
 		ids[i] = fmt.Sprint("s", i)
 	}
-	load := cloverhook.Load{Busy: 0.5}
+	load := decision.Load{Busy: 0.5}
 	for i := range b.N {
 		now := 10 + 0.0001*float64(i)
 		board.See(i%4, ids[i%200], now, evidence.Seen{Kind: evidence.Good, Latency: 0.02, Load: load})
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,9 +15,9 @@
 	"sync/atomic"
 	"time"
 
-	"cloverhook/internal/membership"
-	"cloverhook/internal/plane"
-	"cloverhook/internal/plane/planepb"
+	"mothrouter/internal/membership"
+	"mothrouter/internal/plane"
+	"mothrouter/internal/plane/planepb"
 )
 
 const (
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -14,10 +14,10 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
-	"cloverhook/internal/fleet"
-	"cloverhook/internal/membership"
-	"cloverhook/internal/plane"
-	"cloverhook/internal/plane/planepb"
+	"mothrouter/internal/fleet"
+	"mothrouter/internal/membership"
+	"mothrouter/internal/plane"
+	"mothrouter/internal/plane/planepb"
 )
 
 // lines keeps a log.
--- a/internal/flight/flight.go
+++ b/internal/flight/flight.go
@@ -13,8 +13,8 @@
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"cloverhook/internal/broker"
-	"cloverhook/internal/httpwire"
+	"mothrouter/internal/broker"
+	"mothrouter/internal/httpwire"
 )
 
 const maxMessage = httpwire.MaxBody + 4<<10 // a body of the platform's, in an envelope
--- a/internal/flight/flight_test.go
+++ b/internal/flight/flight_test.go
@@ -8,8 +8,8 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
-	"cloverhook"
-	"cloverhook/internal/broker"
+	"mothrouter/internal/broker"
+	"mothrouter/internal/decision"
 )
 
 func TestStatusOfEachOutcome(t *testing.T) {
@@ -29,17 +29,17 @@
 	for _, c := range []struct {
 		err  error
 		gate *gate
-		want cloverhook.Status
+		want decision.Status
 	}{
-		{status.Error(codes.Unavailable, ""), &gate{}, cloverhook.Unreachable},
-		{status.Error(codes.DeadlineExceeded, ""), &gate{}, cloverhook.Unreachable},
-		{errShut, &gate{shut: true}, cloverhook.NotSent},
-		{errShut, &gate{passed: true}, cloverhook.Error}, // gRPC wanted to send it again by itself
-		{refusal, &gate{passed: true}, cloverhook.Overloaded},
-		{status.Error(codes.Unavailable, ""), &gate{passed: true}, cloverhook.Reset},
-		{status.Error(codes.Internal, ""), &gate{passed: true}, cloverhook.Reset},
-		{status.Error(codes.DeadlineExceeded, ""), &gate{passed: true}, cloverhook.TimedOut},
-		{status.Error(codes.Aborted, ""), &gate{passed: true}, cloverhook.Error},
+		{status.Error(codes.Unavailable, ""), &gate{}, decision.Unreachable},
+		{status.Error(codes.DeadlineExceeded, ""), &gate{}, decision.Unreachable},
+		{errShut, &gate{shut: true}, decision.NotSent},
+		{errShut, &gate{passed: true}, decision.Error}, // gRPC wanted to send it again by itself
+		{refusal, &gate{passed: true}, decision.Overloaded},
+		{status.Error(codes.Unavailable, ""), &gate{passed: true}, decision.Reset},
+		{status.Error(codes.Internal, ""), &gate{passed: true}, decision.Reset},
+		{status.Error(codes.DeadlineExceeded, ""), &gate{passed: true}, decision.TimedOut},
+		{status.Error(codes.Aborted, ""), &gate{passed: true}, decision.Error},
 	} {
 		require.Equal(t, c.want, broken(c.err, c.gate).Status, "%v", c.err)
 	}
--- a/internal/flight/front.go
+++ b/internal/flight/front.go
@@ -18,7 +18,7 @@
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
-	"cloverhook/internal/broker"
+	"mothrouter/internal/broker"
 )
 
 func secondsOf(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/flight/link.go
+++ b/internal/flight/link.go
@@ -18,10 +18,10 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
-	"cloverhook"
-	"cloverhook/internal/broker"
-	"cloverhook/internal/frame"
-	"cloverhook/internal/httpwire"
+	"mothrouter/internal/broker"
+	"mothrouter/internal/decision"
+	"mothrouter/internal/frame"
+	"mothrouter/internal/httpwire"
 )
 
 // LinkOptions are what the deployment fixes.
@@ -216,18 +216,18 @@
 	return g.passed
 }
 
-func reply(s cloverhook.Status) broker.Reply { return broker.Reply{Status: s, Load: cloverhook.NoLoad} }
+func reply(s decision.Status) broker.Reply { return broker.Reply{Status: s, Load: decision.NoLoad} }
 
 // get runs one call to its end.
 func (l *Link) get(ctx context.Context, c *broker.Call) broker.Reply {
 	ch, err := l.acquire(c.Addr)
 	if err != nil {
-		return reply(cloverhook.NotSent) // which tells nothing of the server
+		return reply(decision.NotSent) // which tells nothing of the server
 	}
 	defer l.release(c.Addr, ch)
 	ticket, err := json.Marshal(PartTicket{frame.PartID(c.Query, c.Shard), c.Shard, string(c.Text)})
 	if err != nil {
-		return reply(cloverhook.NotSent)
+		return reply(decision.NotSent)
 	}
 	g := &gate{call: c}
 	stream, err := ch.client.DoGet(ctx, &flight.Ticket{Ticket: ticket}, grpc.PerRPCCredentials(g))
@@ -239,26 +239,26 @@
 	case err != nil:
 		return broken(err, g)
 	case !utf8.Valid(value):
-		return reply(cloverhook.Error) // no answer could carry it
+		return reply(decision.Error) // no answer could carry it
 	}
-	return broker.Reply{Status: cloverhook.OK, Load: load, Value: value}
+	return broker.Reply{Status: decision.OK, Load: load, Value: value}
 }
 
 var errTooLong = errors.New("the value is too long")
 
 // readPart reads a part's stream to its status. Only a stream that ends well has brought the part: one that
 // breaks halfway leaves it not in.
-func readPart(stream flight.FlightService_DoGetClient) ([]byte, cloverhook.Load, error) {
+func readPart(stream flight.FlightService_DoGetClient) ([]byte, decision.Load, error) {
 	r, err := flight.NewRecordReader(stream)
 	if err != nil {
-		return nil, cloverhook.NoLoad, err
+		return nil, decision.NoLoad, err
 	}
 	defer r.Release()
 	column := r.Schema().FieldIndices("value")
 	if len(column) != 1 {
-		return nil, cloverhook.NoLoad, errors.New("a part's schema has one column named value")
+		return nil, decision.NoLoad, errors.New("a part's schema has one column named value")
 	}
-	value, load := []byte{}, cloverhook.NoLoad
+	value, load := []byte{}, decision.NoLoad
 	for r.Next() {
 		rows, ok := r.RecordBatch().Column(column[0]).(*array.String)
 		if !ok {
@@ -287,19 +287,19 @@
 func broken(err error, g *gate) broker.Reply {
 	switch {
 	case g.shut:
-		return reply(cloverhook.NotSent)
+		return reply(decision.NotSent)
 	case !g.mayHaveRun():
-		return reply(cloverhook.Unreachable)
+		return reply(decision.Unreachable)
 	case refused(err):
-		return reply(cloverhook.Overloaded)
+		return reply(decision.Overloaded)
 	}
 	switch status.Code(err) {
 	case codes.DeadlineExceeded:
-		return reply(cloverhook.TimedOut)
+		return reply(decision.TimedOut)
 	case codes.Unavailable, codes.Internal, codes.Unknown, codes.Canceled:
-		return reply(cloverhook.Reset)
+		return reply(decision.Reset)
 	}
-	return reply(cloverhook.Error)
+	return reply(decision.Error)
 }
 
 // Probe asks a server for its load by the action "load".
@@ -314,7 +314,7 @@
 func (l *Link) ask(ctx context.Context, p *broker.Probe) broker.Reply {
 	ch, err := l.acquire(p.Addr)
 	if err != nil {
-		return reply(cloverhook.NotSent)
+		return reply(decision.NotSent)
 	}
 	defer l.release(p.Addr, ch)
 	stream, err := ch.client.DoAction(ctx, &flight.Action{Type: "load"})
@@ -325,13 +325,13 @@
 	switch status.Code(err) {
 	case codes.OK:
 	case codes.Unavailable:
-		return reply(cloverhook.Unreachable)
+		return reply(decision.Unreachable)
 	case codes.DeadlineExceeded, codes.Canceled:
-		return reply(cloverhook.TimedOut)
+		return reply(decision.TimedOut)
 	default:
-		return reply(cloverhook.Error)
+		return reply(decision.Error)
 	}
-	r := reply(cloverhook.OK)
+	r := reply(decision.OK)
 	if load, err := frame.ParseLoad(res.GetBody()); err == nil {
 		r.Load = load
 	}
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -11,7 +11,7 @@
 	"math"
 	"strconv"
 
-	"cloverhook"
+	"mothrouter/internal/decision"
 )
 
 const (
@@ -33,8 +33,8 @@
 // Reply is how a part ended.
 type Reply struct {
 	ID     []byte
-	Status cloverhook.Status
-	Load   cloverhook.Load
+	Status decision.Status
+	Load   decision.Load
 	Value  []byte
 }
 
@@ -115,8 +115,8 @@
 	return nil
 }
 
-var ends = map[string]cloverhook.Status{
-	"done": cloverhook.OK, "failed": cloverhook.Error, "full": cloverhook.Overloaded,
+var ends = map[string]decision.Status{
+	"done": decision.OK, "failed": decision.Error, "full": decision.Overloaded,
 }
 
 func parseReply(p []byte) (r Reply, err error) {
@@ -134,7 +134,7 @@
 	}
 	// The value is good whatever the report: one that cannot be read tells nothing and spoils nothing.
 	if r.Load, err = ParseLoad(report); err != nil {
-		r.Load = cloverhook.NoLoad
+		r.Load = decision.NoLoad
 	}
 	r.Value = value
 	return r, nil
@@ -143,15 +143,15 @@
 // ParseLoad reads a load report: name=value pairs set apart by commas, or "-". A deployment's settings list
 // its names for the values (report.columns), which differ from the protocol's own; both are known here, any
 // other is ignored.
-func ParseLoad(p []byte) (cloverhook.Load, error) {
-	l := cloverhook.NoLoad
+func ParseLoad(p []byte) (decision.Load, error) {
+	l := decision.NoLoad
 	for len(p) > 0 && string(p) != "-" {
 		var pair []byte
 		pair, p, _ = bytes.Cut(p, []byte{','})
 		name, number, ok := bytes.Cut(pair, []byte{'='})
 		v, err := strconv.ParseFloat(string(number), 64)
 		if !ok || err != nil || math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
-			return cloverhook.NoLoad, fmt.Errorf("a load report with %q", pair)
+			return decision.NoLoad, fmt.Errorf("a load report with %q", pair)
 		}
 		switch string(name) {
 		case "inflight", "rif":
--- a/internal/frame/frame_test.go
+++ b/internal/frame/frame_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"cloverhook/internal/frame"
+	"mothrouter/internal/frame"
 )
 
 // feed hands bytes to a reader, step at a time, and returns what it says, a line a message.
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -8,9 +8,9 @@
 	"sync/atomic"
 	"time"
 
-	"cloverhook/internal/broker"
-	"cloverhook/internal/drain"
-	"cloverhook/internal/httpwire"
+	"mothrouter/internal/broker"
+	"mothrouter/internal/drain"
+	"mothrouter/internal/httpwire"
 )
 
 // conn is one client connection. Its serve goroutine owns it; a second goroutine only reads.
--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"cloverhook/internal/broker"
-	"cloverhook/internal/drain"
+	"mothrouter/internal/broker"
+	"mothrouter/internal/drain"
 )
 
 // held is a core that hands the test what it is given.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -10,9 +10,9 @@
 	"sync"
 	"time"
 
-	"cloverhook/internal/broker"
-	"cloverhook/internal/drain"
-	"cloverhook/internal/metrics"
+	"mothrouter/internal/broker"
+	"mothrouter/internal/drain"
+	"mothrouter/internal/metrics"
 )
 
 const (
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"cloverhook/internal/httpwire"
+	"mothrouter/internal/httpwire"
 )
 
 // machine is what the two readers have in common.
--- a/internal/httpwire/query.go
+++ b/internal/httpwire/query.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"cloverhook/internal/broker"
+	"mothrouter/internal/broker"
 )
 
 // Body is the body of a query.
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"cloverhook/internal/lease"
+	"mothrouter/internal/lease"
 )
 
 // Over any schedule of decisions that overlap, sends, pauses and a whole that changes: what is sent within a window
--- a/internal/listwatch/listwatch.go
+++ b/internal/listwatch/listwatch.go
@@ -13,7 +13,7 @@
 	"slices"
 	"time"
 
-	"cloverhook/internal/backoff"
+	"mothrouter/internal/backoff"
 )
 
 const (
--- a/internal/listwatch/listwatch_test.go
+++ b/internal/listwatch/listwatch_test.go
@@ -9,8 +9,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"cloverhook/internal/backoff"
-	"cloverhook/internal/listwatch"
+	"mothrouter/internal/backoff"
+	"mothrouter/internal/listwatch"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -16,8 +16,8 @@
 	"slices"
 	"time"
 
-	"cloverhook/internal/plane"
-	"cloverhook/internal/plane/planepb"
+	"mothrouter/internal/plane"
+	"mothrouter/internal/plane/planepb"
 )
 
 const (
--- a/internal/membership/net_test.go
+++ b/internal/membership/net_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"cloverhook/internal/membership"
-	"cloverhook/internal/plane"
-	"cloverhook/internal/plane/planepb"
+	"mothrouter/internal/membership"
+	"mothrouter/internal/plane"
+	"mothrouter/internal/plane/planepb"
 )
 
 // network plays a fleet on virtual time: one process, one seed, the same run each time.
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -4,8 +4,8 @@
 	"net/netip"
 	"time"
 
-	"cloverhook/internal/plane"
-	"cloverhook/internal/plane/planepb"
+	"mothrouter/internal/plane"
+	"mothrouter/internal/plane/planepb"
 )
 
 // Receive takes a datagram that plane.Parse has read, and returns what to send. It came from an address.
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"cloverhook/internal/metrics"
+	"mothrouter/internal/metrics"
 )
 
 func TestFigures(t *testing.T) {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"cloverhook/internal/placement"
+	"mothrouter/internal/placement"
 )
 
 func TestQueriesGoToWorkersThatHoldLess(t *testing.T) {
--- a/internal/plane/plane_test.go
+++ b/internal/plane/plane_test.go
@@ -7,8 +7,8 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
-	"cloverhook/internal/plane"
-	"cloverhook/internal/plane/planepb"
+	"mothrouter/internal/plane"
+	"mothrouter/internal/plane/planepb"
 )
 
 const fleet = 9
--- a/internal/recent/recent_test.go
+++ b/internal/recent/recent_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"cloverhook/internal/recent"
+	"mothrouter/internal/recent"
 )
 
 func TestQuantilesAreThoseOfTheLatest(t *testing.T) {
--- a/internal/recovery/learner.go
+++ b/internal/recovery/learner.go
@@ -7,8 +7,8 @@
 	"slices"
 	"strings"
 
-	"cloverhook"
-	"cloverhook/internal/snapshot"
+	"mothrouter/internal/decision"
+	"mothrouter/internal/snapshot"
 )
 
 const (
@@ -40,21 +40,21 @@
 }
 
 // List takes up the list.
-func (l *Learner) List(e cloverhook.List) {
-	if e.Mode == cloverhook.ListFailed {
+func (l *Learner) List(e decision.List) {
+	if e.Mode == decision.ListFailed {
 		return
 	}
 	here := map[string]bool{}
 	for _, s := range e.Servers {
-		here[s.ID] = s.State != cloverhook.Gone
-		if old := l.servers[s.ID]; s.State == cloverhook.Gone {
+		here[s.ID] = s.State != decision.Gone
+		if old := l.servers[s.ID]; s.State == decision.Gone {
 			l.forget(s.ID)
 		} else if old == nil || s.Started > old.Started { // of another process, nothing holds
 			delete(l.answered, s.ID)
-			l.servers[s.ID] = &snapshot.Server{ID: s.ID, Started: s.Started, Load: cloverhook.NoLoad}
+			l.servers[s.ID] = &snapshot.Server{ID: s.ID, Started: s.Started, Load: decision.NoLoad}
 		}
 	}
-	if e.Mode != cloverhook.ListDelta {
+	if e.Mode != decision.ListDelta {
 		for id := range l.servers {
 			if !here[id] {
 				l.forget(id)
@@ -69,19 +69,19 @@
 }
 
 // Saw books how an attempt or a probe ended.
-func (l *Learner) Saw(now float64, server string, status cloverhook.Status, latency float64, load cloverhook.Load) {
+func (l *Learner) Saw(now float64, server string, status decision.Status, latency float64, load decision.Load) {
 	s := l.servers[server]
 	if s == nil {
 		return
 	}
-	if load != cloverhook.NoLoad {
+	if load != decision.NoLoad {
 		s.Load, s.LoadAt = load, now
 	}
 	failed := 1.0
 	switch status {
-	case cloverhook.NotSent:
+	case decision.NotSent:
 		return
-	case cloverhook.TimedOut, cloverhook.Cancelled:
+	case decision.TimedOut, decision.Cancelled:
 		// A server that hangs ends no attempt: what was given up tells of it, if it has answered nothing since.
 		if latency < math.Max(silentTimes*math.Exp(l.usual), silentLeast) || l.answered[server] >= now-latency {
 			return
@@ -89,7 +89,7 @@
 		if latency > s.Pace { // it would have taken longer still
 			s.Pace, s.PaceAt = s.Pace+newsStep(now-s.PaceAt)*(latency-s.Pace), now
 		}
-	case cloverhook.OK:
+	case decision.OK:
 		failed = 0
 		l.answered[server] = now
 		s.Pace, s.PaceAt = s.Pace+newsStep(now-s.PaceAt)*(latency-s.Pace), now
--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"math"
 
-	"cloverhook"
-	"cloverhook/internal/snapshot"
+	"mothrouter/internal/decision"
+	"mothrouter/internal/snapshot"
 )
 
 // What a fact is still worth. A belief that a server is well fades faster than one that it is ill: to shun a sound
@@ -37,20 +37,20 @@
 // Restore returns, as the module's events, what a snapshot is still worth for the servers of a list, as it is now.
 // The events follow the list. Of a server that has started since, drains, or has left and come back as another
 // process, nothing holds: it never looks warm, well or ill for what its predecessor was.
-func Restore(s *snapshot.Snapshot, list []cloverhook.Server, now float64) (events []cloverhook.Event) {
+func Restore(s *snapshot.Snapshot, list []decision.Server, now float64) (events []decision.Event) {
 	if Stale(s, now) != "" {
 		return nil
 	}
-	listed := make(map[string]cloverhook.Server, len(list))
+	listed := make(map[string]decision.Server, len(list))
 	for _, e := range list {
 		listed[e.ID] = e
 	}
 	if worth := half(now-s.Written, peakHalf); s.Pace > 0 && worth >= leastWorth {
-		events = append(events, cloverhook.Remembered{Pace: s.Pace, Peak: s.Peak * worth})
+		events = append(events, decision.Remembered{Pace: s.Pace, Peak: s.Peak * worth})
 	}
 	for _, v := range s.Servers {
 		e, here := listed[v.ID]
-		if !here || e.State != cloverhook.Ready || e.Started != v.Started || e.Started > s.Written {
+		if !here || e.State != decision.Ready || e.Started != v.Started || e.Started > s.Written {
 			continue
 		}
 		if h, ok := heard(v, s, now); ok {
@@ -63,11 +63,11 @@
 // heard is what is remembered of a server, as hearsay of the time when it was so: the older it is, the more the
 // module's first news of its own weighs against it. That a server was quick is not told at all. A blank start takes
 // each server for average, and hearsay of a good past would make its first bad news count for less.
-func heard(v snapshot.Server, s *snapshot.Snapshot, now float64) (h cloverhook.Heard, ok bool) {
+func heard(v snapshot.Server, s *snapshot.Snapshot, now float64) (h decision.Heard, ok bool) {
 	// Times within a snapshot that lie behind its end are no times.
 	at := func(t float64) float64 { return math.Min(t, s.Written) }
 	age := func(t float64) float64 { return now - at(t) }
-	h = cloverhook.Heard{Server: v.ID, At: math.Min(at(math.Max(v.FailedAt, v.PaceAt)), now), Load: cloverhook.NoLoad}
+	h = decision.Heard{Server: v.ID, At: math.Min(at(math.Max(v.FailedAt, v.PaceAt)), now), Load: decision.NoLoad}
 	if worth := half(age(v.FailedAt), illHalf); v.FailedAt > 0 && v.Failed >= illFrom && worth*v.Failed >= leastWorth {
 		h.Failed, h.Weight, ok = v.Failed, worth, true
 	}
--- a/internal/recovery/recovery_test.go
+++ b/internal/recovery/recovery_test.go
@@ -6,37 +6,37 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"cloverhook"
-	"cloverhook/internal/recovery"
-	"cloverhook/internal/snapshot"
+	"mothrouter/internal/decision"
+	"mothrouter/internal/recovery"
+	"mothrouter/internal/snapshot"
 )
 
 // taught is a snapshot written at 1000 by one that saw a quick, a slow and a failing server, and one that is cold.
 func taught() *snapshot.Snapshot {
 	l := recovery.NewLearner()
-	l.List(cloverhook.List{Mode: cloverhook.ListFull, Servers: []cloverhook.Server{
+	l.List(decision.List{Mode: decision.ListFull, Servers: []decision.Server{
 		{ID: "quick"}, {ID: "slow"}, {ID: "fails"}, {ID: "cold", Started: 995}, {ID: "left"}}})
 	for i := range 100 {
 		now := 990 + 0.1*float64(i)
-		l.Saw(now, "quick", cloverhook.OK, 0.01, cloverhook.Load{Busy: 0.2})
-		l.Saw(now, "slow", cloverhook.OK, 0.08, cloverhook.NoLoad)
-		l.Saw(now, "fails", cloverhook.Error, 0.001, cloverhook.NoLoad)
-		l.Saw(now, "cold", cloverhook.OK, 0.02, cloverhook.NoLoad)
-		l.Saw(now, "left", cloverhook.OK, 0.02, cloverhook.NoLoad)
-		l.Saw(now, "unheard-of", cloverhook.OK, 0.02, cloverhook.NoLoad)
+		l.Saw(now, "quick", decision.OK, 0.01, decision.Load{Busy: 0.2})
+		l.Saw(now, "slow", decision.OK, 0.08, decision.NoLoad)
+		l.Saw(now, "fails", decision.Error, 0.001, decision.NoLoad)
+		l.Saw(now, "cold", decision.OK, 0.02, decision.NoLoad)
+		l.Saw(now, "left", decision.OK, 0.02, decision.NoLoad)
+		l.Saw(now, "unheard-of", decision.OK, 0.02, decision.NoLoad)
 	}
 	return l.Snapshot(1000)
 }
 
-var list = []cloverhook.Server{{ID: "quick"}, {ID: "slow"}, {ID: "fails"}, {ID: "cold", Started: 995}}
+var list = []decision.Server{{ID: "quick"}, {ID: "slow"}, {ID: "fails"}, {ID: "cold", Started: 995}}
 
-func restored(s *snapshot.Snapshot, list []cloverhook.Server, now float64) (m map[string]cloverhook.Heard, fleet *cloverhook.Remembered) {
-	m = map[string]cloverhook.Heard{}
+func restored(s *snapshot.Snapshot, list []decision.Server, now float64) (m map[string]decision.Heard, fleet *decision.Remembered) {
+	m = map[string]decision.Heard{}
 	for _, e := range recovery.Restore(s, list, now) {
 		switch e := e.(type) {
-		case cloverhook.Heard:
+		case decision.Heard:
 			m[e.Server] = e
-		case cloverhook.Remembered:
+		case decision.Remembered:
 			fleet = &e
 		}
 	}
@@ -73,37 +73,37 @@
 // Nothing holds of a server that has started since, has gone cold, drains, or came back as another process.
 func TestNothingHoldsOfAnotherProcess(t *testing.T) {
 	s := taught()
-	for what, e := range map[string]cloverhook.Server{
+	for what, e := range map[string]decision.Server{
 		"restarted":               {ID: "slow", Started: 1000.5},
 		"back under its old name": {ID: "cold", Started: 1001},
 		"of an older start":       {ID: "cold", Started: 900},
-		"drains":                  {ID: "slow", State: cloverhook.Draining},
-		"gone":                    {ID: "slow", State: cloverhook.Gone},
+		"drains":                  {ID: "slow", State: decision.Draining},
+		"gone":                    {ID: "slow", State: decision.Gone},
 	} {
-		m, _ := restored(s, []cloverhook.Server{e}, 1001)
+		m, _ := restored(s, []decision.Server{e}, 1001)
 		require.Empty(t, m, what)
 	}
 	l := recovery.NewLearner() // nor while it learns
-	l.List(cloverhook.List{Mode: cloverhook.ListFull, Servers: []cloverhook.Server{{ID: "a"}, {ID: "b"}}})
-	l.Saw(10, "a", cloverhook.OK, 0.01, cloverhook.NoLoad)
-	l.Saw(10, "b", cloverhook.OK, 0.01, cloverhook.NoLoad)
-	l.List(cloverhook.List{Servers: []cloverhook.Server{{ID: "a", Started: 11}, {ID: "b", State: cloverhook.Gone}}})
+	l.List(decision.List{Mode: decision.ListFull, Servers: []decision.Server{{ID: "a"}, {ID: "b"}}})
+	l.Saw(10, "a", decision.OK, 0.01, decision.NoLoad)
+	l.Saw(10, "b", decision.OK, 0.01, decision.NoLoad)
+	l.List(decision.List{Servers: []decision.Server{{ID: "a", Started: 11}, {ID: "b", State: decision.Gone}}})
 	require.Empty(t, l.Snapshot(12).Servers)
 }
 
 // A server that hangs is remembered by what was given up there; a slow one that answers meanwhile is not ill for it.
 func TestAHangIsRemembered(t *testing.T) {
 	l := recovery.NewLearner()
-	l.List(cloverhook.List{Mode: cloverhook.ListFull, Servers: []cloverhook.Server{{ID: "well"}, {ID: "hangs"}, {ID: "slow"}}})
+	l.List(decision.List{Mode: decision.ListFull, Servers: []decision.Server{{ID: "well"}, {ID: "hangs"}, {ID: "slow"}}})
 	for i := range 30 {
 		now := 100 + 0.1*float64(i)
-		l.Saw(now, "well", cloverhook.OK, 0.01, cloverhook.NoLoad)
-		l.Saw(now, "slow", cloverhook.OK, 0.2, cloverhook.NoLoad)
-		l.Saw(now+0.01, "slow", cloverhook.Cancelled, 0.2, cloverhook.NoLoad)
-		l.Saw(now, "hangs", cloverhook.TimedOut, 0.4, cloverhook.NoLoad)
-		l.Saw(now, "well", cloverhook.Cancelled, 0.005, cloverhook.NoLoad) // no longer needed
+		l.Saw(now, "well", decision.OK, 0.01, decision.NoLoad)
+		l.Saw(now, "slow", decision.OK, 0.2, decision.NoLoad)
+		l.Saw(now+0.01, "slow", decision.Cancelled, 0.2, decision.NoLoad)
+		l.Saw(now, "hangs", decision.TimedOut, 0.4, decision.NoLoad)
+		l.Saw(now, "well", decision.Cancelled, 0.005, decision.NoLoad) // no longer needed
 	}
-	m, _ := restored(l.Snapshot(103), []cloverhook.Server{{ID: "well"}, {ID: "hangs"}, {ID: "slow"}}, 103.5)
+	m, _ := restored(l.Snapshot(103), []decision.Server{{ID: "well"}, {ID: "hangs"}, {ID: "slow"}}, 103.5)
 	require.Greater(t, m["hangs"].Weight*m["hangs"].Failed, 0.9)
 	require.Zero(t, m["slow"].Weight)
 	require.Zero(t, m["well"].Weight)
@@ -117,8 +117,8 @@
 	require.Empty(t, recovery.Stale(s, 999.8), "within what clocks differ")
 	s.Servers[0].FailedAt, s.Servers[0].PaceAt, s.Servers[0].LoadAt = 5000, 5000, 5000 // times from the future
 	for _, e := range recovery.Restore(s, list, 1100) {
-		if h, ok := e.(cloverhook.Heard); ok && h.Server == s.Servers[0].ID {
-			require.Equal(t, cloverhook.NoLoad, h.Load)
+		if h, ok := e.(decision.Heard); ok && h.Server == s.Servers[0].ID {
+			require.Equal(t, decision.NoLoad, h.Load)
 			require.Less(t, h.Weight, 0.1)
 		}
 	}
@@ -132,18 +132,18 @@
 		s := &snapshot.Snapshot{Written: num("written"), Pace: num("pace"), Peak: num("peak")}
 		for _, id := range []string{"a", "b", "c"} {
 			s.Servers = append(s.Servers, snapshot.Server{ID: id, Started: num("started"), Pace: num("p"), PaceAt: num("pa"),
-				Failed: rapid.Float64Range(0, 1).Draw(t, "failed"), FailedAt: num("fa"), LoadAt: num("la"), Load: cloverhook.Load{Busy: 1}})
+				Failed: rapid.Float64Range(0, 1).Draw(t, "failed"), FailedAt: num("fa"), LoadAt: num("la"), Load: decision.Load{Busy: 1}})
 		}
-		list := []cloverhook.Server{{ID: "a", Started: s.Servers[0].Started}, {ID: "b", Started: num("other")},
-			{ID: "c", Started: s.Servers[2].Started, State: cloverhook.Draining}}
+		list := []decision.Server{{ID: "a", Started: s.Servers[0].Started}, {ID: "b", Started: num("other")},
+			{ID: "c", Started: s.Servers[2].Started, State: decision.Draining}}
 		now := num("now")
 		for _, e := range recovery.Restore(s, list, now) {
 			switch e := e.(type) {
-			case cloverhook.Remembered:
+			case decision.Remembered:
 				if !(e.Peak <= s.Peak && e.Pace == s.Pace) {
 					t.Fatalf("%+v of %+v", e, s)
 				}
-			case cloverhook.Heard:
+			case decision.Heard:
 				same := e.Server == "a" || e.Server == "b" && list[1].Started == s.Servers[1].Started
 				if !same || e.Weight < 0 || e.Weight > 1 || e.Failed < 0 || e.Failed > 1 || e.At > now || e.LoadAt > now+0.5 || e.Pace < 0 {
 					t.Fatalf("%+v of %+v at %g", e, s, now)
@@ -163,24 +163,24 @@
 // A server that was remembered as well or ill: the first news of its own outweighs either.
 func TestFirstNewsOutweighsMemory(t *testing.T) {
 	for _, remembered := range []float64{0.01, 0.3} {
-		set := cloverhook.Settings{Classes: []cloverhook.Class{{Aim: 1, Deadline: 2, Need: 1, Floor: 1}}, Brokers: 1, Cells: 1,
+		set := decision.Settings{Classes: []decision.Class{{Aim: 1, Deadline: 2, Need: 1, Floor: 1}}, Brokers: 1, Cells: 1,
 			Reach: 1, BatchMax: 1, MaxAttempts: 3, Tick: 0.005, MayCancel: true}
-		news := cloverhook.List{Mode: cloverhook.ListFull, Servers: []cloverhook.Server{{ID: "a"}, {ID: "b"}}}
+		news := decision.List{Mode: decision.ListFull, Servers: []decision.Server{{ID: "a"}, {ID: "b"}}}
 		l := recovery.NewLearner()
 		l.List(news)
 		for i := range 50 {
-			l.Saw(100+0.1*float64(i), "a", cloverhook.OK, remembered, cloverhook.NoLoad)
-			l.Saw(100+0.1*float64(i), "b", cloverhook.OK, 0.02, cloverhook.NoLoad)
+			l.Saw(100+0.1*float64(i), "a", decision.OK, remembered, decision.NoLoad)
+			l.Saw(100+0.1*float64(i), "b", decision.OK, 0.02, decision.NoLoad)
 		}
-		p, now := cloverhook.New(set, 3), 108.0
-		p.Handle(now, append([]cloverhook.Event{news}, recovery.Restore(l.Snapshot(105), news.Servers, now)...))
+		p, now := decision.New(set, 3), 108.0
+		p.Handle(now, append([]decision.Event{news}, recovery.Restore(l.Snapshot(105), news.Servers, now)...))
 		toA := 0
 		for i := range 200 { // now both take what the other took
 			now += 0.3
-			q := cloverhook.RequestID(10 * (i + 1))
-			for _, a := range p.Handle(now, []cloverhook.Event{cloverhook.Query{ID: q, Number: int64(q), Parts: 1, Deadline: now + 2},
-				cloverhook.Part{ID: q + 1, Number: int64(q), Weight: 1}}) {
-				if s, ok := a.(cloverhook.Send); ok {
+			q := decision.RequestID(10 * (i + 1))
+			for _, a := range p.Handle(now, []decision.Event{decision.Query{ID: q, Number: int64(q), Parts: 1, Deadline: now + 2},
+				decision.Part{ID: q + 1, Number: int64(q), Weight: 1}}) {
+				if s, ok := a.(decision.Send); ok {
 					latency := 0.02
 					if s.Server == "a" && remembered < 0.1 {
 						latency = 0.3
@@ -189,7 +189,7 @@
 						toA++
 					}
 					now += latency
-					p.Handle(now, []cloverhook.Event{cloverhook.Ended{ID: s.ID, Server: s.Server, Latency: latency, Closed: true, Load: cloverhook.NoLoad}})
+					p.Handle(now, []decision.Event{decision.Ended{ID: s.ID, Server: s.Server, Latency: latency, Closed: true, Load: decision.NoLoad}})
 				}
 			}
 		}
@@ -204,28 +204,28 @@
 // In the middle of a fault of the whole fleet all servers look ill. A broker that remembers so still serves: what all
 // share tells nothing between two holders, and the first answers outweigh it.
 func TestAFleetWideFaultIsNotRememberedForLong(t *testing.T) {
-	set := cloverhook.Settings{Classes: []cloverhook.Class{{Aim: 1, Deadline: 2, Need: 1, Floor: 1}}, Brokers: 1, Cells: 1,
+	set := decision.Settings{Classes: []decision.Class{{Aim: 1, Deadline: 2, Need: 1, Floor: 1}}, Brokers: 1, Cells: 1,
 		Reach: 1, BatchMax: 1, MaxAttempts: 3, Tick: 0.005, MayCancel: true}
 	l := recovery.NewLearner()
-	news := cloverhook.List{Mode: cloverhook.ListFull, Servers: []cloverhook.Server{{ID: "a"}, {ID: "b"}, {ID: "c"}}}
+	news := decision.List{Mode: decision.ListFull, Servers: []decision.Server{{ID: "a"}, {ID: "b"}, {ID: "c"}}}
 	l.List(news)
 	for i := range 60 {
 		for _, s := range news.Servers {
-			l.Saw(100+0.1*float64(i), s.ID, cloverhook.Reset, 0.001, cloverhook.NoLoad)
+			l.Saw(100+0.1*float64(i), s.ID, decision.Reset, 0.001, decision.NoLoad)
 		}
 	}
-	p := cloverhook.New(set, 1)
+	p := decision.New(set, 1)
 	now := 107.0
-	p.Handle(now, append([]cloverhook.Event{news}, recovery.Restore(l.Snapshot(106), news.Servers, now)...))
+	p.Handle(now, append([]decision.Event{news}, recovery.Restore(l.Snapshot(106), news.Servers, now)...))
 	served := 0
 	for i := range 30 {
 		now += 0.02
-		q := cloverhook.RequestID(10 * (i + 1))
-		for _, a := range p.Handle(now, []cloverhook.Event{cloverhook.Query{ID: q, Number: int64(q), Parts: 1, Deadline: now + 2},
-			cloverhook.Part{ID: q + 1, Number: int64(q), Weight: 1}}) {
-			if s, ok := a.(cloverhook.Send); ok {
+		q := decision.RequestID(10 * (i + 1))
+		for _, a := range p.Handle(now, []decision.Event{decision.Query{ID: q, Number: int64(q), Parts: 1, Deadline: now + 2},
+			decision.Part{ID: q + 1, Number: int64(q), Weight: 1}}) {
+			if s, ok := a.(decision.Send); ok {
 				served++
-				p.Handle(now+0.01, []cloverhook.Event{cloverhook.Ended{ID: s.ID, Server: s.Server, Latency: 0.01, Closed: true, Load: cloverhook.NoLoad}})
+				p.Handle(now+0.01, []decision.Event{decision.Ended{ID: s.ID, Server: s.Server, Latency: 0.01, Closed: true, Load: decision.NoLoad}})
 			}
 		}
 	}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -20,7 +20,7 @@
 	"syscall"
 	"time"
 
-	"cloverhook/internal/plane"
+	"mothrouter/internal/plane"
 )
 
 // Faults are what happens to datagrams from one process to another.
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"cloverhook/internal/rig"
+	"mothrouter/internal/rig"
 )
 
 var program string
@@ -21,7 +21,7 @@
 		panic(err)
 	}
 	program = filepath.Join(dir, "mothrouter")
-	if out, err := exec.Command("go", "build", "-o", program, "cloverhook/cmd/mothrouter").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-o", program, "mothrouter/cmd/mothrouter").CombinedOutput(); err != nil {
 		panic(string(out))
 	}
 	code := m.Run()
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -13,8 +13,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"cloverhook"
-	"cloverhook/internal/snapshot/snapshotpb"
+	"mothrouter/internal/decision"
+	"mothrouter/internal/snapshot/snapshotpb"
 )
 
 //go:generate protoc -I snapshotpb --go_out=snapshotpb --go_opt=paths=source_relative snapshot.proto
@@ -49,7 +49,7 @@
 	PaceAt   float64
 	Failed   float64 // share of failed attempts
 	FailedAt float64
-	Load     cloverhook.Load
+	Load     decision.Load
 	LoadAt   float64 // 0: no report has come
 }
 
@@ -134,10 +134,10 @@
 	}
 	seen := make(map[string]bool, len(m.Servers))
 	for _, p := range m.Servers {
-		v := Server{ID: p.Id, Started: p.Started, Pace: p.Pace, PaceAt: p.PaceAt, Failed: p.Failed, FailedAt: p.FailedAt, Load: cloverhook.NoLoad}
+		v := Server{ID: p.Id, Started: p.Started, Pace: p.Pace, PaceAt: p.PaceAt, Failed: p.Failed, FailedAt: p.FailedAt, Load: decision.NoLoad}
 		if r := p.Report; r != nil {
 			v.LoadAt = r.At
-			v.Load = cloverhook.Load{InFlight: r.InFlight, Queue: r.Queue, Busy: r.Busy, Latency: r.Latency, Rate: r.Rate, ErrorRate: r.ErrorRate}
+			v.Load = decision.Load{InFlight: r.InFlight, Queue: r.Queue, Busy: r.Busy, Latency: r.Latency, Rate: r.Rate, ErrorRate: r.ErrorRate}
 			if !sane(r.At) || math.IsNaN(r.InFlight+r.Queue+r.Busy+r.Latency+r.Rate+r.ErrorRate) {
 				return nil, fmt.Errorf("%w: the report of server %q", ErrContent, v.ID)
 			}
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -9,17 +9,17 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"cloverhook"
-	"cloverhook/internal/snapshot"
+	"mothrouter/internal/decision"
+	"mothrouter/internal/snapshot"
 )
 
 func example(servers int) *snapshot.Snapshot {
 	s := &snapshot.Snapshot{Written: 1000, Instance: "n3", Settings: 42, Pace: 0.02, Peak: 31}
 	for i := range servers {
 		v := snapshot.Server{ID: fmt.Sprintf("s-%08x", i), Started: float64(i % 3), Pace: 0.01, PaceAt: 990, Failed: 0.2,
-			FailedAt: 995, Load: cloverhook.NoLoad}
+			FailedAt: 995, Load: decision.NoLoad}
 		if i%2 == 0 {
-			v.Load, v.LoadAt = cloverhook.Load{InFlight: 3, Queue: -1, Busy: 0.4, Latency: -1, Rate: -1, ErrorRate: -1}, 999
+			v.Load, v.LoadAt = decision.Load{InFlight: 3, Queue: -1, Busy: 0.4, Latency: -1, Rate: -1, ErrorRate: -1}, 999
 		}
 		s.Servers = append(s.Servers, v)
 	}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -13,9 +13,9 @@
 	"sync"
 	"time"
 
-	"cloverhook"
-	"cloverhook/internal/broker"
-	"cloverhook/internal/frame"
+	"mothrouter/internal/broker"
+	"mothrouter/internal/decision"
+	"mothrouter/internal/frame"
 )
 
 const (
@@ -98,16 +98,16 @@
 // Entries is the list of all servers as discovery would tell it.
 func (f *Fleet) Entries() (list []broker.ListEntry) {
 	for _, s := range f.Servers {
-		list = append(list, s.Entry(cloverhook.Ready))
+		list = append(list, s.Entry(decision.Ready))
 	}
 	return list
 }
 
 // Entry is a server's entry on the list.
-func (s *Server) Entry(state cloverhook.State) broker.ListEntry {
+func (s *Server) Entry(state decision.State) broker.ListEntry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e := broker.ListEntry{Addr: s.Addr, Server: cloverhook.Server{ID: s.ID, Cell: s.Cell, State: state, Capacity: 1}}
+	e := broker.ListEntry{Addr: s.Addr, Server: decision.Server{ID: s.ID, Cell: s.Cell, State: state, Capacity: 1}}
 	if !s.started.IsZero() {
 		e.Started = float64(s.started.UnixNano()) / 1e9
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -8,9 +8,9 @@
 	"time"
 	"unicode/utf8"
 
-	"cloverhook"
-	"cloverhook/internal/broker"
-	"cloverhook/internal/frame"
+	"mothrouter/internal/broker"
+	"mothrouter/internal/decision"
+	"mothrouter/internal/frame"
 )
 
 const (
@@ -246,7 +246,7 @@
 			cn.l.enqueue(cn.addr, cn.server, j)
 			continue
 		}
-		cn.end(j, cloverhook.Unreachable)
+		cn.end(j, decision.Unreachable)
 	}
 	for _, j := range cn.calls {
 		if j.state == jobWritten {
@@ -262,15 +262,15 @@
 
 // lost is how a call ended that was out when the connection did. A server whose answer was spoilt lives: that
 // it is not cut off matters to the decisions. Either way the call may have run.
-func (cn *conn) lost() cloverhook.Status {
+func (cn *conn) lost() decision.Status {
 	if errors.Is(cn.broken, errSpoilt) {
-		return cloverhook.Error
+		return decision.Error
 	}
-	return cloverhook.Reset
+	return decision.Reset
 }
 
 // end tells how a job ended that got no answer. The caller holds mu.
-func (cn *conn) end(j *job, status cloverhook.Status) {
+func (cn *conn) end(j *job, status decision.Status) {
 	if j.state == jobOver {
 		return
 	}
@@ -328,7 +328,7 @@
 				// The break came meanwhile: it may have run only if its last byte was written.
 				status := cn.lost()
 				if n < len(buf) {
-					status = cloverhook.Unreachable
+					status = decision.Unreachable
 				}
 				cn.end(j, status)
 			}
@@ -436,13 +436,13 @@
 			break
 		}
 		r := broker.Reply{Status: m.Reply.Status, Load: m.Reply.Load}
-		if r.Status == cloverhook.OK && !utf8.Valid(m.Reply.Value) {
+		if r.Status == decision.OK && !utf8.Valid(m.Reply.Value) {
 			return fmt.Errorf("%w: a value that no answer can carry", errSpoilt)
 		}
 		delete(cn.calls, id)
 		cn.answered(id)
 		j.state = jobOver
-		if r.Status == cloverhook.OK {
+		if r.Status == decision.OK {
 			if !j.at.IsZero() { // it may come before the writer has noted that all is written
 				cn.l.answered(time.Since(j.at))
 			}
@@ -456,9 +456,9 @@
 		j := cn.probes[0]
 		cn.probes = cn.probes[1:]
 		j.state = jobOver
-		r := unsent(cloverhook.OK)
+		r := unsent(decision.OK)
 		if string(m.Rest) == "failed" {
-			r.Status = cloverhook.Error
+			r.Status = decision.Error
 		} else if load, err := frame.ParseLoad(m.Rest); m.Letter == 'M' && err == nil {
 			r.Load = load
 		}
--- a/internal/upstream/pace_test.go
+++ b/internal/upstream/pace_test.go
@@ -6,17 +6,17 @@
 
 	"github.com/stretchr/testify/require"
 
-	"cloverhook"
-	"cloverhook/internal/broker"
-	"cloverhook/internal/frame"
+	"mothrouter/internal/broker"
+	"mothrouter/internal/decision"
+	"mothrouter/internal/frame"
 )
 
 type asks struct{}
 
-func (a asks) Handle(_ float64, events []cloverhook.Event) (do []cloverhook.Action) {
+func (a asks) Handle(_ float64, events []decision.Event) (do []decision.Action) {
 	for _, e := range events {
-		if p, ok := e.(cloverhook.Part); ok {
-			do = append(do, cloverhook.Send{ID: p.ID, Server: "s"})
+		if p, ok := e.(decision.Part); ok {
+			do = append(do, decision.Send{ID: p.ID, Server: "s"})
 		}
 	}
 	return do
@@ -36,9 +36,9 @@
 // the zero time: for hundreds of answers no silence would be noticed.
 func TestAnAnswerAheadOfItsWriterTellsNoTime(t *testing.T) {
 	out := make(calls, 1)
-	b := broker.New(broker.Options{Settings: cloverhook.Settings{Classes: []cloverhook.Class{{Deadline: 9, Need: 1, Floor: 1}}}}, asks{}, out)
+	b := broker.New(broker.Options{Settings: decision.Settings{Classes: []decision.Class{{Deadline: 9, Need: 1, Floor: 1}}}}, asks{}, out)
 	go b.Run(t.Context())
-	b.Update(broker.List{Mode: cloverhook.ListFull, Servers: []broker.ListEntry{{Server: cloverhook.Server{ID: "s"}, Addr: "a"}}})
+	b.Update(broker.List{Mode: decision.ListFull, Servers: []broker.ListEntry{{Server: decision.Server{ID: "s"}, Addr: "a"}}})
 	b.Take(&broker.Request{ID: "q", Arrived: time.Now(), Patience: time.Second, Parts: []broker.Part{{Share: 1}}}, nobody{})
 	l := New(t.Context(), Options{})
 	cn := newConn(l, "a", nil)
@@ -46,7 +46,7 @@
 	cn.calls[j.id] = j
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	require.NoError(t, cn.take(frame.Message{Letter: 'R', Reply: frame.Reply{ID: []byte("q.0"), Status: cloverhook.OK, Value: []byte("v")}}))
+	require.NoError(t, cn.take(frame.Message{Letter: 'R', Reply: frame.Reply{ID: []byte("q.0"), Status: decision.OK, Value: []byte("v")}}))
 	require.Zero(t, l.pace)
 	require.Equal(t, SilentFor, l.patience())
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
-	"cloverhook"
-	"cloverhook/internal/broker"
+	"mothrouter/internal/broker"
+	"mothrouter/internal/decision"
 )
 
 // Options are what the deployment fixes.
@@ -75,9 +75,9 @@
 	}
 	// No descriptor is left for it, so nothing can have run; and it tells nothing of the server.
 	if j.probe != nil {
-		j.probe.Done(unsent(cloverhook.NotSent))
+		j.probe.Done(unsent(decision.NotSent))
 	} else {
-		j.call.Done(unsent(cloverhook.NotSent))
+		j.call.Done(unsent(decision.NotSent))
 	}
 }
 
@@ -180,6 +180,6 @@
 	return d.DialContext(l.ctx, "tcp", addr)
 }
 
-func unsent(status cloverhook.Status) broker.Reply {
-	return broker.Reply{Status: status, Load: cloverhook.NoLoad}
+func unsent(status decision.Status) broker.Reply {
+	return broker.Reply{Status: status, Load: decision.NoLoad}
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -12,25 +12,25 @@
 
 	"github.com/stretchr/testify/require"
 
-	"cloverhook"
-	"cloverhook/internal/broker"
-	"cloverhook/internal/frame"
-	"cloverhook/internal/upstream"
+	"mothrouter/internal/broker"
+	"mothrouter/internal/decision"
+	"mothrouter/internal/frame"
+	"mothrouter/internal/upstream"
 )
 
 // script decides what the test says next.
 type script struct {
-	parts chan cloverhook.Part
-	ended chan cloverhook.Ended
-	next  chan []cloverhook.Action
+	parts chan decision.Part
+	ended chan decision.Ended
+	next  chan []decision.Action
 }
 
-func (s script) Handle(_ float64, events []cloverhook.Event) (actions []cloverhook.Action) {
+func (s script) Handle(_ float64, events []decision.Event) (actions []decision.Action) {
 	for _, e := range events {
 		switch e := e.(type) {
-		case cloverhook.Part:
+		case decision.Part:
 			s.parts <- e
-		case cloverhook.Ended:
+		case decision.Ended:
 			s.ended <- e
 		}
 	}
@@ -59,28 +59,28 @@
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(func() { cancel(); l.Close() })
-	r := &rig{T: t, l: l, script: script{make(chan cloverhook.Part, 9), make(chan cloverhook.Ended, 999), make(chan []cloverhook.Action, 9)}}
-	set := cloverhook.Settings{Cells: 1, Reach: 1, Classes: []cloverhook.Class{
-		{Deadline: 9, Need: 1, Floor: 1}, {Deadline: 9, Need: 1, Floor: 1, Repeat: cloverhook.RepeatUnsafe}}}
+	r := &rig{T: t, l: l, script: script{make(chan decision.Part, 9), make(chan decision.Ended, 999), make(chan []decision.Action, 9)}}
+	set := decision.Settings{Cells: 1, Reach: 1, Classes: []decision.Class{
+		{Deadline: 9, Need: 1, Floor: 1}, {Deadline: 9, Need: 1, Floor: 1, Repeat: decision.RepeatUnsafe}}}
 	r.b = broker.New(broker.Options{Settings: set}, r.script, upstream.New(ctx, opt))
 	go r.b.Run(ctx)
-	r.list = broker.List{Mode: cloverhook.ListFull, Servers: []broker.ListEntry{
-		{Server: cloverhook.Server{ID: "s0"}, Addr: l.Addr().String()}}}
+	r.list = broker.List{Mode: decision.ListFull, Servers: []broker.ListEntry{
+		{Server: decision.Server{ID: "s0"}, Addr: l.Addr().String()}}}
 	r.b.Update(r.list)
 	return r
 }
 
 // do has the Decider act.
-func (r *rig) do(a ...cloverhook.Action) {
+func (r *rig) do(a ...decision.Action) {
 	r.next <- a
 	r.b.Update(r.list)
 }
 
 // ask hands over a query of one part and returns the part's id.
-func (r *rig) ask(name string) cloverhook.RequestID { return r.askOf(0, name) }
+func (r *rig) ask(name string) decision.RequestID { return r.askOf(0, name) }
 
 // askOf asks in a class; parts of class 1 must not run twice.
-func (r *rig) askOf(class int, name string) cloverhook.RequestID {
+func (r *rig) askOf(class int, name string) decision.RequestID {
 	r.b.Take(&broker.Request{ID: name, Class: class, Arrived: time.Now(), Patience: 5 * time.Second,
 		Parts: []broker.Part{{Share: 1}}, Text: []byte("x")}, nobody{})
 	return (<-r.parts).ID
@@ -123,7 +123,7 @@
 	require.NoError(p, err)
 }
 
-func send(id cloverhook.RequestID) cloverhook.Action { return cloverhook.Send{ID: id, Server: "s0"} }
+func send(id decision.RequestID) decision.Action { return decision.Send{ID: id, Server: "s0"} }
 
 var options = upstream.Options{Streams: 2, Idle: time.Minute, ConnectTimeout: 250 * time.Millisecond}
 
@@ -133,9 +133,9 @@
 	r.do(send(id))
 	first := r.accept()
 	first.gets('S', "q.0 0 d=")
-	r.do(cloverhook.Cancel{ID: id})
+	r.do(decision.Cancel{ID: id})
 	first.gets('C', "q.0")
-	require.Equal(t, cloverhook.Cancelled, (<-r.ended).Status)
+	require.Equal(t, decision.Cancelled, (<-r.ended).Status)
 	r.do(send(id))
 	second := r.accept()
 	second.gets('S', "q.0 0 d=")
@@ -145,10 +145,10 @@
 	first.gets('S', "other.0") // the first connection is still of use to others
 	first.sends('R', "other.0 failed 1 inflight=3\n")
 	e := <-r.ended
-	require.Equal(t, []any{other, cloverhook.Error, 3.0}, []any{e.ID, e.Status, e.Load.InFlight})
+	require.Equal(t, []any{other, decision.Error, 3.0}, []any{e.ID, e.Status, e.Load.InFlight})
 	second.sends('R', "q.0 done 1 -\nnew")
 	e = <-r.ended
-	require.Equal(t, []any{id, 1, cloverhook.OK}, []any{e.ID, e.Attempt, e.Status})
+	require.Equal(t, []any{id, 1, decision.OK}, []any{e.ID, e.Attempt, e.Status})
 }
 
 func TestConnectionsAreSharedUpToTheirStreams(t *testing.T) {
@@ -162,13 +162,13 @@
 	second := r.accept()
 	second.gets('S', "c.0")
 	require.NoError(t, second.Close())
-	require.Equal(t, cloverhook.Reset, (<-r.ended).Status) // its frame was written whole
+	require.Equal(t, decision.Reset, (<-r.ended).Status) // its frame was written whole
 	first.sends('F', "no such frame")
-	require.Equal(t, cloverhook.Reset, (<-r.ended).Status)
-	require.Equal(t, cloverhook.Reset, (<-r.ended).Status)
+	require.Equal(t, decision.Reset, (<-r.ended).Status)
+	require.Equal(t, decision.Reset, (<-r.ended).Status)
 	require.NoError(t, r.l.Close())
 	r.do(send(r.ask("d")))
-	require.Equal(t, cloverhook.Unreachable, (<-r.ended).Status)
+	require.Equal(t, decision.Unreachable, (<-r.ended).Status)
 }
 
 // A machine that has dropped off the network leaves its connections open and silent. One whose call got no
@@ -180,7 +180,7 @@
 	first := r.accept()
 	first.gets('S', "q.0")
 	time.Sleep(upstream.SilentFor + 50*time.Millisecond)
-	r.do(cloverhook.Cancel{ID: id})
+	r.do(decision.Cancel{ID: id})
 	<-r.ended
 	r.do(send(r.ask("next")))
 	r.accept().gets('S', "next.0")
@@ -188,7 +188,7 @@
 
 func TestProbes(t *testing.T) {
 	r := newRig(t, options)
-	r.do(cloverhook.Probe{Server: "s0"})
+	r.do(decision.Probe{Server: "s0"})
 	p := r.accept()
 	p.gets('H', "")
 	p.sends('H', "done")
@@ -212,7 +212,7 @@
 	second := r.accept()
 	second.gets('S', "next.0")
 	first.sends('R', "lost.0 done 1 -\nv") // it was only slow, and is of use again
-	require.Equal(t, cloverhook.OK, (<-r.ended).Status)
+	require.Equal(t, decision.OK, (<-r.ended).Status)
 	r.do(send(r.ask("more")))
 	first.gets('S', "more.0")
 }
@@ -240,9 +240,9 @@
 			_, err := p.Write([]byte(good + spoilt))
 			require.NoError(t, err)
 			e := <-r.ended
-			require.Equal(t, []any{a, cloverhook.OK}, []any{e.ID, e.Status})
+			require.Equal(t, []any{a, decision.OK}, []any{e.ID, e.Status})
 			e = <-r.ended
-			require.Equal(t, []any{b, cloverhook.Error}, []any{e.ID, e.Status})
+			require.Equal(t, []any{b, decision.Error}, []any{e.ID, e.Status})
 			r.do(send(r.ask("next")))
 			r.accept().gets('S', "next.0")
 		})
@@ -262,13 +262,13 @@
 			first.gets('S', "a.0")
 			_, err := first.Write([]byte(good + more))
 			require.NoError(t, err)
-			require.Equal(t, cloverhook.Error, (<-r.ended).Status)
+			require.Equal(t, decision.Error, (<-r.ended).Status)
 			r.do(send(a))
 			second := r.accept()
 			second.gets('S', "a.0")
 			second.sends('R', "a.0 done 1 -\nv")
 			e := <-r.ended
-			require.Equal(t, []any{1, cloverhook.OK}, []any{e.Attempt, e.Status})
+			require.Equal(t, []any{1, decision.OK}, []any{e.Attempt, e.Status})
 		})
 	}
 }
@@ -305,9 +305,9 @@
 	p := r.accept()
 	p.gets('S', "a.0")
 	r.do(send(r.ask("b")))
-	require.Equal(t, cloverhook.NotSent, (<-r.ended).Status) // it tells nothing of the server
+	require.Equal(t, decision.NotSent, (<-r.ended).Status) // it tells nothing of the server
 	p.sends('R', "a.0 done 1 -\nv")
-	require.Equal(t, cloverhook.OK, (<-r.ended).Status)
+	require.Equal(t, decision.OK, (<-r.ended).Status)
 	r.do(send(r.ask("c")))
 	p.gets('S', "c.0")
 }
@@ -323,10 +323,10 @@
 	next, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer next.Close()
-	r.list.Servers[0] = broker.ListEntry{Server: cloverhook.Server{ID: "s1"}, Addr: next.Addr().String()}
+	r.list.Servers[0] = broker.ListEntry{Server: decision.Server{ID: "s1"}, Addr: next.Addr().String()}
 	r.b.Update(r.list)
 	r.l = next
-	r.do(cloverhook.Send{ID: r.ask("b"), Server: "s1"})
+	r.do(decision.Send{ID: r.ask("b"), Server: "s1"})
 	r.accept().gets('S', "b.0")
 	_, err = p.Read(make([]byte, 1))
 	require.ErrorIs(t, err, io.EOF)
@@ -337,7 +337,7 @@
 func TestACallTakenBackHalfWrittenIsNeverDelivered(t *testing.T) {
 	r := newRig(t, upstream.Options{Streams: 1000, Idle: time.Minute, ConnectTimeout: 250 * time.Millisecond})
 	text := bytes.Repeat([]byte("x"), 60<<10)
-	var ids []cloverhook.RequestID
+	var ids []decision.RequestID
 	for i := range 300 { // more than what the system takes off the writer's hands
 		r.b.Take(&broker.Request{ID: fmt.Sprint("q", i), Arrived: time.Now(), Patience: 9 * time.Second,
 			Parts: []broker.Part{{Share: 1}}, Text: text}, nobody{})
@@ -348,8 +348,8 @@
 	p := r.accept()
 	time.Sleep(300 * time.Millisecond)
 	for _, id := range ids {
-		r.do(cloverhook.Cancel{ID: id})
-		require.NotEqual(t, cloverhook.OK, (<-r.ended).Status)
+		r.do(decision.Cancel{ID: id})
+		require.NotEqual(t, decision.OK, (<-r.ended).Status)
 	}
 	require.NoError(t, p.SetReadDeadline(time.Now().Add(5*time.Second)))
 	var err error
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -1,4 +1,4 @@
-// Package wire translates between the simulator's text wire and cloverhook's events and actions.
+// Package wire translates between the simulator's text wire and the decisions' events and actions.
 // It decides nothing.
 package wire
 
@@ -12,7 +12,7 @@
 	"strconv"
 	"strings"
 
-	"cloverhook"
+	"mothrouter/internal/decision"
 )
 
 // ItemKind tells what an Item is.
@@ -28,9 +28,9 @@
 type Item struct {
 	Mixer    int
 	Kind     ItemKind
-	Settings cloverhook.Settings
+	Settings decision.Settings
 	Seed     uint64
-	Event    cloverhook.Event
+	Event    decision.Event
 }
 
 // Batch is one tick: its time, its number and what happened, in order.
@@ -47,7 +47,7 @@
 type Decoder struct {
 	in      *bufio.Reader
 	line    int
-	rosters [maxRosters][]cloverhook.Server
+	rosters [maxRosters][]decision.Server
 	known   [maxRosters]bool
 }
 
@@ -128,7 +128,7 @@
 	if n < 0 {
 		return f.errorf("field nodesList: %d is negative", n)
 	}
-	var list []cloverhook.Server
+	var list []decision.Server
 	for ; n > 0; n-- {
 		text, err := d.readLine()
 		if err != nil {
@@ -141,7 +141,7 @@
 		if e.kind != "searcher" {
 			return e.errorf("expected a searcher line")
 		}
-		s := cloverhook.Server{
+		s := decision.Server{
 			ID: e.text("searcher"), Zone: int(e.optInteger("locality", 0)), Kind: int(e.optInteger("sku", 0)),
 			Cell: int(e.optInteger("cell", 0)), Capacity: e.optNumber("capacityHint", 0),
 			Started: e.optNumber("lastStartS", 0),
@@ -149,9 +149,9 @@
 		switch state := e.text("status"); state {
 		case "IN":
 		case "LAME":
-			s.State = cloverhook.Draining
+			s.State = decision.Draining
 		case "OUT":
-			s.State = cloverhook.Gone
+			s.State = decision.Gone
 		default:
 			e.fail("status", state)
 		}
@@ -164,15 +164,15 @@
 	return nil
 }
 
-var statuses = map[string]cloverhook.Status{
-	"success": cloverhook.OK, "failure": cloverhook.Error, "overloaded": cloverhook.Overloaded,
-	"timed_out": cloverhook.TimedOut, "unreachable": cloverhook.Unreachable, "broken": cloverhook.Reset,
-	"withdrawn": cloverhook.Cancelled, "void": cloverhook.NotSent,
+var statuses = map[string]decision.Status{
+	"success": decision.OK, "failure": decision.Error, "overloaded": decision.Overloaded,
+	"timed_out": decision.TimedOut, "unreachable": decision.Unreachable, "broken": decision.Reset,
+	"withdrawn": decision.Cancelled, "void": decision.NotSent,
 }
 
-var listModes = map[string]cloverhook.ListMode{
-	"patch": cloverhook.ListDelta, "whole": cloverhook.ListFull,
-	"stale_copy": cloverhook.ListCached, "broken": cloverhook.ListFailed,
+var listModes = map[string]decision.ListMode{
+	"patch": decision.ListDelta, "whole": decision.ListFull,
+	"stale_copy": decision.ListCached, "broken": decision.ListFailed,
 }
 
 // item translates one event line. ok is false for kinds that this version does not know.
@@ -193,8 +193,8 @@
 		if !known {
 			f.fail("mode", f.vals["mode"])
 		}
-		l := cloverhook.List{Mode: mode, Version: f.optInteger("version", 0)}
-		if mode != cloverhook.ListFailed {
+		l := decision.List{Mode: mode, Version: f.optInteger("version", 0)}
+		if mode != decision.ListFailed {
 			id := f.integer("rosterId")
 			if f.err == nil && (id < 0 || id >= maxRosters || !d.known[id]) {
 				f.err = f.errorf("field rosterId: no census %d came before", id)
@@ -205,39 +205,39 @@
 		it.Event = l
 	case "new_request":
 		if shard := f.number("slice"); shard < 0 {
-			it.Event = cloverhook.Query{
+			it.Event = decision.Query{
 				ID: f.request(), Number: f.integer("query"), Class: int(f.optInteger("qos", 0)),
 				Tenant: int(f.optInteger("clientGroup", 0)), Key: uint64(f.optInteger("entity", 0)),
 				Parts: int(f.optNumber("measure", 0)), Deadline: f.number("clientDeadlineS"),
 				Retry: f.optBool("isRetry"), Work: f.optNumber("costS", 0), Write: f.optBool("update"),
 			}
 		} else {
-			it.Event = cloverhook.Part{
+			it.Event = decision.Part{
 				ID: f.request(), Number: f.integer("query"), Shard: int(shard),
 				Weight: f.number("measure"), Key: uint64(f.optInteger("entity", 0)),
 				Work: f.optNumber("costS", 0),
 			}
 		}
 	case "begun":
-		it.Event = cloverhook.Started{
+		it.Event = decision.Started{
 			ID: f.request(), Attempt: int(f.integer("shot")), Server: f.text("searcher"),
 		}
 	case "finished":
-		it.Event = cloverhook.Ended{
+		it.Event = decision.Ended{
 			ID: f.request(), Attempt: int(f.integer("shot")), Server: f.text("searcher"),
 			Status: f.status(), Latency: f.optNumber("spentS", 0),
 			Closed: f.optBool("closed"), Load: f.load(),
 		}
 	case "hangup":
-		it.Event = cloverhook.ClientGone{ID: f.request()}
+		it.Event = decision.ClientGone{ID: f.request()}
 	case "probe_result":
-		it.Event = cloverhook.Probed{
+		it.Event = decision.Probed{
 			Server: f.text("searcher"), Status: f.status(), Latency: f.optNumber("spentS", 0), Load: f.load(),
 		}
 	case "reminder":
-		it.Event = cloverhook.Timer{Token: uint64(f.integer("nonce"))}
+		it.Event = decision.Timer{Token: uint64(f.integer("nonce"))}
 	case "neighbour_says":
-		m := cloverhook.PeerMessage{From: int(f.integer("srcPeer"))}
+		m := decision.PeerMessage{From: int(f.integer("srcPeer"))}
 		if raw := f.optText("raw", "-"); raw != "-" {
 			data, err := base64.StdEncoding.DecodeString(raw)
 			if err != nil {
@@ -352,9 +352,9 @@
 	return false
 }
 
-func (f *fields) request() cloverhook.RequestID { return cloverhook.RequestID(f.integer("msgId")) }
+func (f *fields) request() decision.RequestID { return decision.RequestID(f.integer("msgId")) }
 
-func (f *fields) status() cloverhook.Status {
+func (f *fields) status() decision.Status {
 	v := f.text("rc")
 	s, ok := statuses[v]
 	if !ok {
@@ -364,8 +364,8 @@
 }
 
 // load reads a load report: name:value pairs set apart by commas. Unknown names are ignored.
-func (f *fields) load() cloverhook.Load {
-	l := cloverhook.NoLoad
+func (f *fields) load() decision.Load {
+	l := decision.NoLoad
 	v := f.optText("stats", "")
 	for v != "" && v != "-" {
 		var pair string
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"strings"
 
-	"cloverhook"
+	"mothrouter/internal/decision"
 )
 
 // Encoder writes replies.
@@ -47,45 +47,45 @@
 }
 
 // Action writes one action of an instance.
-func (e *Encoder) Action(mixer int, action cloverhook.Action) error {
+func (e *Encoder) Action(mixer int, action decision.Action) error {
 	switch a := action.(type) {
-	case cloverhook.Send:
+	case decision.Send:
 		e.begin("dispatch", mixer)
 		e.integer("msgId", uint64(a.ID))
 		e.text("searcher", a.Server)
 		if a.Timeout != 0 {
 			e.seconds("withinS", a.Timeout)
 		}
-	case cloverhook.Answer:
+	case decision.Answer:
 		e.begin("assemble", mixer)
 		e.integer("msgId", uint64(a.ID))
 		e.flag("complete", a.Whole)
-	case cloverhook.Refuse:
+	case decision.Refuse:
 		e.begin("decline", mixer)
 		e.integer("msgId", uint64(a.ID))
 		if a.RetryAfter > 0 {
 			e.seconds("notBeforeForS", a.RetryAfter)
 		}
-	case cloverhook.Fail:
+	case decision.Fail:
 		e.begin("fail", mixer)
 		e.integer("msgId", uint64(a.ID))
-	case cloverhook.Cancel:
+	case decision.Cancel:
 		e.begin("retract", mixer)
 		e.integer("msgId", uint64(a.ID))
 		e.integer("shot", uint64(a.Attempt))
-	case cloverhook.SetTimer:
+	case decision.SetTimer:
 		e.begin("after", mixer)
 		e.integer("nonce", a.Token)
 		e.seconds("alarmTimeS", a.At)
-	case cloverhook.Probe:
+	case decision.Probe:
 		e.begin("sample", mixer)
 		e.text("searcher", a.Server)
-	case cloverhook.Watch:
+	case decision.Watch:
 		e.begin("observe", mixer)
 		e.flag("complete", a.On)
-	case cloverhook.Fetch:
+	case decision.Fetch:
 		e.begin("lookup", mixer)
-	case cloverhook.Log:
+	case decision.Log:
 		e.begin("record", mixer)
 		e.text("line", oneLine(a.Line))
 	default:
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -5,17 +5,17 @@
 	"fmt"
 	"io"
 
-	"cloverhook"
+	"mothrouter/internal/decision"
 )
 
 // NewDecider makes what decides for one instance.
-type NewDecider func(s cloverhook.Settings, seed uint64) cloverhook.Decider
+type NewDecider func(s decision.Settings, seed uint64) decision.Decider
 
 // Serve runs the instances that the wire asks for until the input ends. Instances share nothing.
 func Serve(in io.Reader, out io.Writer, newDecider NewDecider) error {
 	dec, enc := NewDecoder(in), NewEncoder(out)
-	instances := map[int]cloverhook.Decider{}
-	pending := map[int][]cloverhook.Event{}
+	instances := map[int]decision.Decider{}
+	pending := map[int][]decision.Event{}
 	for {
 		b, err := dec.Next()
 		if errors.Is(err, io.EOF) {
@@ -69,8 +69,8 @@
 }
 
 // handle runs one instance's decisions and turns a panic into a text.
-func handle(d cloverhook.Decider, now float64, events []cloverhook.Event) (
-	actions []cloverhook.Action, failure string) {
+func handle(d decision.Decider, now float64, events []decision.Event) (
+	actions []decision.Action, failure string) {
 	defer func() {
 		if r := recover(); r != nil {
 			actions, failure = nil, fmt.Sprintf("panic: %v", r)
