--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -4,10 +4,10 @@
 	"encoding/json"
 	"fmt"
 
-	"cloverhook"
+	"mothrouter/internal/decision"
 )
 
-// profile is the part of the start-up settings that cloverhook uses. Other keys are ignored.
+// profile is the part of the start-up settings that the decisions use. Other keys are ignored.
 type profile struct {
 	Caps struct {
 		Cancel       bool    `json:"cancel"`
@@ -57,14 +57,14 @@
 	Zone int     `json:"zone"`
 }
 
-var repeats = map[string]cloverhook.Repeat{
-	"": cloverhook.RepeatSafe, "free": cloverhook.RepeatSafe,
-	"guarded": cloverhook.RepeatKeyed, "single_shot": cloverhook.RepeatUnsafe,
+var repeats = map[string]decision.Repeat{
+	"": decision.RepeatSafe, "free": decision.RepeatSafe,
+	"guarded": decision.RepeatKeyed, "single_shot": decision.RepeatUnsafe,
 }
 
-var reportModes = map[string]cloverhook.ReportMode{
-	"": cloverhook.ReportNone, "silent": cloverhook.ReportNone,
-	"piggyback": cloverhook.ReportPiggyback, "pull": cloverhook.ReportPull,
+var reportModes = map[string]decision.ReportMode{
+	"": decision.ReportNone, "silent": decision.ReportNone,
+	"piggyback": decision.ReportPiggyback, "pull": decision.ReportPull,
 }
 
 // at returns list[i], or what the wire means where the list is shorter.
@@ -76,19 +76,19 @@
 }
 
 // ParseSettings translates the start-up settings.
-func ParseSettings(text string) (cloverhook.Settings, error) {
+func ParseSettings(text string) (decision.Settings, error) {
 	var p profile
 	if err := json.Unmarshal([]byte(text), &p); err != nil {
-		return cloverhook.Settings{}, err
+		return decision.Settings{}, err
 	}
 	mode, ok := reportModes[p.Report.How]
 	if !ok {
-		return cloverhook.Settings{}, fmt.Errorf("report.how: cannot read %q", p.Report.How)
+		return decision.Settings{}, fmt.Errorf("report.how: cannot read %q", p.Report.How)
 	}
 	if p.Discovery != "" && p.Discovery != "push" && p.Discovery != "ask" {
-		return cloverhook.Settings{}, fmt.Errorf("discovery: cannot read %q", p.Discovery)
+		return decision.Settings{}, fmt.Errorf("discovery: cannot read %q", p.Discovery)
 	}
-	s := cloverhook.Settings{
+	s := decision.Settings{
 		Brokers: p.PeersTotal, Zone: p.Zone,
 		Cells: p.Family.Cells, Reach: p.Family.Reach, BatchMax: p.Family.BundleMax,
 		ReportMode: mode, AskForList: p.Discovery == "ask",
@@ -114,7 +114,7 @@
 		if !ok {
 			return s, fmt.Errorf("classes[%d].semantics: cannot read %q", i, c.Semantics)
 		}
-		s.Classes = append(s.Classes, cloverhook.Class{
+		s.Classes = append(s.Classes, decision.Class{
 			Aim: c.Objective, AimStretch: c.AimStretch, Deadline: c.Deadline, LateWorth: c.LateWorth, Worth: c.Worth,
 			Repeat: repeat, RepeatWindow: c.Window,
 			Need: at(p.Family.NeedByClass, i, 1), Floor: at(p.Family.ClassFloor, i, 1),
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,8 +8,8 @@
 	"strings"
 	"testing"
 
-	"cloverhook"
-	"cloverhook/internal/wire"
+	"mothrouter/internal/decision"
+	"mothrouter/internal/wire"
 )
 
 const profile = `{"classes":[{"deadlineS":2,"objectiveS":1,"semantics":"free","worth":1}],` +
@@ -29,15 +29,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := cloverhook.Settings{
-		Classes: []cloverhook.Class{
-			{Aim: 1.5, AimStretch: 2, Deadline: 5, Worth: 2, LateWorth: 0.1, Repeat: cloverhook.RepeatKeyed,
+	want := decision.Settings{
+		Classes: []decision.Class{
+			{Aim: 1.5, AimStretch: 2, Deadline: 5, Worth: 2, LateWorth: 0.1, Repeat: decision.RepeatKeyed,
 				RepeatWindow: 4, Need: 1, Floor: 0.5},
-			{Aim: 1, Deadline: 2, Worth: 1, Repeat: cloverhook.RepeatUnsafe, Need: 0.8, Floor: 1,
+			{Aim: 1, Deadline: 2, Worth: 1, Repeat: decision.RepeatUnsafe, Need: 0.8, Floor: 1,
 				SecondStep: 3},
 		},
 		Brokers: 2, Zone: 2,
-		Cells: 4, Reach: 2, BatchMax: 8, ReportMode: cloverhook.ReportPull, AskForList: true,
+		Cells: 4, Reach: 2, BatchMax: 8, ReportMode: decision.ReportPull, AskForList: true,
 		AskWithin: 10, Tick: 0.005, MaxAttempts: 3, MayCancel: true, MayProbe: true, MayCopy: true,
 		RetryAfter: true, MaxWait: 0.5, ColdShare: 0.28, WarmUp: 17, FallMultiple: 3, FallTime: 1,
 		Budget: true, BudgetFree: 10, BudgetShare: 0.1, BudgetSpan: 5,
@@ -54,19 +54,19 @@
 // recorder is a decider that keeps its events and answers with given actions.
 type recorder struct {
 	events  *[]string
-	actions []cloverhook.Action
+	actions []decision.Action
 }
 
-func (r recorder) Handle(now float64, events []cloverhook.Event) []cloverhook.Action {
+func (r recorder) Handle(now float64, events []decision.Event) []decision.Action {
 	for _, e := range events {
 		*r.events = append(*r.events, fmt.Sprintf("%g %+v", now, e))
 	}
 	return r.actions
 }
 
-func serve(in string, actions ...cloverhook.Action) (events []string, reply string, err error) {
+func serve(in string, actions ...decision.Action) (events []string, reply string, err error) {
 	var out bytes.Buffer
-	err = wire.Serve(strings.NewReader(in), &out, func(cloverhook.Settings, uint64) cloverhook.Decider {
+	err = wire.Serve(strings.NewReader(in), &out, func(decision.Settings, uint64) decision.Decider {
 		return recorder{&events, actions}
 	})
 	return events, out.String(), err
@@ -129,22 +129,22 @@
 
 func TestActions(t *testing.T) {
 	for _, c := range []struct {
-		action cloverhook.Action
+		action decision.Action
 		want   string
 	}{
-		{cloverhook.Send{ID: 6, Server: "a:1", Timeout: 0.08}, "dispatch mixer=3 msgId=6 searcher=a:1 withinS=0.080000"},
-		{cloverhook.Send{ID: 6, Server: "a:1"}, "dispatch mixer=3 msgId=6 searcher=a:1"},
-		{cloverhook.Answer{ID: 5, Whole: true}, "assemble mixer=3 msgId=5 complete=1"},
-		{cloverhook.Answer{ID: 5}, "assemble mixer=3 msgId=5 complete=0"},
-		{cloverhook.Refuse{ID: 5, RetryAfter: 0.5}, "decline mixer=3 msgId=5 notBeforeForS=0.500000"},
-		{cloverhook.Refuse{ID: 5}, "decline mixer=3 msgId=5"},
-		{cloverhook.Fail{ID: 5}, "fail mixer=3 msgId=5"},
-		{cloverhook.Cancel{ID: 6, Attempt: 2}, "retract mixer=3 msgId=6 shot=2"},
-		{cloverhook.SetTimer{Token: 77, At: 8.91225}, "after mixer=3 nonce=77 alarmTimeS=8.912250"},
-		{cloverhook.Probe{Server: "a:1"}, "sample mixer=3 searcher=a:1"},
-		{cloverhook.Watch{On: true}, "observe mixer=3 complete=1"},
-		{cloverhook.Fetch{}, "lookup mixer=3"},
-		{cloverhook.Log{Line: "two\nlines"}, "record mixer=3 line=two lines"},
+		{decision.Send{ID: 6, Server: "a:1", Timeout: 0.08}, "dispatch mixer=3 msgId=6 searcher=a:1 withinS=0.080000"},
+		{decision.Send{ID: 6, Server: "a:1"}, "dispatch mixer=3 msgId=6 searcher=a:1"},
+		{decision.Answer{ID: 5, Whole: true}, "assemble mixer=3 msgId=5 complete=1"},
+		{decision.Answer{ID: 5}, "assemble mixer=3 msgId=5 complete=0"},
+		{decision.Refuse{ID: 5, RetryAfter: 0.5}, "decline mixer=3 msgId=5 notBeforeForS=0.500000"},
+		{decision.Refuse{ID: 5}, "decline mixer=3 msgId=5"},
+		{decision.Fail{ID: 5}, "fail mixer=3 msgId=5"},
+		{decision.Cancel{ID: 6, Attempt: 2}, "retract mixer=3 msgId=6 shot=2"},
+		{decision.SetTimer{Token: 77, At: 8.91225}, "after mixer=3 nonce=77 alarmTimeS=8.912250"},
+		{decision.Probe{Server: "a:1"}, "sample mixer=3 searcher=a:1"},
+		{decision.Watch{On: true}, "observe mixer=3 complete=1"},
+		{decision.Fetch{}, "lookup mixer=3"},
+		{decision.Log{Line: "two\nlines"}, "record mixer=3 line=two lines"},
 	} {
 		_, reply, err := serve(tick(open3, "reminder mixer=3 nonce=1"), c.action)
 		if want := c.want + "\nok frame=12\n"; err != nil || reply != want {
@@ -189,7 +189,7 @@
 func TestPanicBecomesBailOut(t *testing.T) {
 	var out bytes.Buffer
 	err := wire.Serve(strings.NewReader(tick(open3, "reminder mixer=3 nonce=1")), &out,
-		func(cloverhook.Settings, uint64) cloverhook.Decider { return recorder{} })
+		func(decision.Settings, uint64) decision.Decider { return recorder{} })
 	if err != nil || !strings.HasPrefix(out.String(), "bail_out mixer=3 line=panic: ") {
 		t.Errorf("got %q, %v", out.String(), err)
 	}
