Carry out the second step of a two-step class in the core, for frames and Flight

Answers hold its values; a first step alone is no answer, also at the end of the process. A served part whose score cannot be read is a failed attempt. 'Of its class's floor' counts for each step.

--- a/cmd/mothrouter/exchange_test.go
+++ b/cmd/mothrouter/exchange_test.go
@@ -105,8 +105,11 @@
 "probes":false,"retryAfter":true,"secondCopies":false,"sendCap":4,"streamsPerConn":100},
 "classes":[{"name":"usage-lookup","deadlineS":4,"objectiveS":1,"lateWorth":0,"semantics":"free","worth":1},
 {"name":"charge-post","deadlineS":5,"objectiveS":1,"lateWorth":0,"semantics":"single_shot","worth":2},
-{"name":"tariff-report","deadlineS":6,"objectiveS":1,"lateWorth":0.1,"semantics":"free","worth":3}],
-"discovery":"push","familyInfo":{"bundleMax":1,"cells":1,"classFloor":[1,1,0.8],"needByClass":[1,1,1],"reach":1,
+{"name":"tariff-report","deadlineS":6,"objectiveS":1,"lateWorth":0.1,"semantics":"free","worth":3},
+{"name":"docket-report","deadlineS":4,"objectiveS":1,"lateWorth":0.1,"semantics":"free","worth":3},
+{"name":"week-report","deadlineS":4,"objectiveS":1,"lateWorth":0.1,"semantics":"free","worth":3}],
+"discovery":"push","familyInfo":{"bundleMax":1,"cells":1,"classFloor":[1,1,0.8,1,0.5],"fetchParts":[0,0,0,2,2],
+"needByClass":[1,1,1,1,1],"reach":1,
 "slabs":24},"machineTypes":["std-2c"],"peersTotal":1,"report":{"how":"piggyback"},"tickS":0.005,
 "zones":["bern-1"]}`
 
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -192,7 +192,7 @@
 		}
 	case decision.Answer:
 		if q := b.queries[a.ID]; q != nil {
-			b.finish(q, q.answer(a.Whole))
+			b.answer(q, a.Whole)
 		}
 	case decision.Refuse:
 		if q := b.queries[a.ID]; q != nil {
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -56,6 +56,8 @@
 	unsafe
 	partial
 	keyed
+	twoStep
+	twoStepPartial
 )
 
 func newRig(t *testing.T) *rig {
@@ -66,7 +68,9 @@
 			{Deadline: 4, Need: 1, Floor: 1},
 			{Deadline: 4, Need: 1, Floor: 1, Repeat: decision.RepeatUnsafe},
 			{Deadline: 4, Need: 1, Floor: 0.8},
-			{Deadline: 4, Need: 1, Floor: 1, Repeat: decision.RepeatKeyed, RepeatWindow: 0.2}}}
+			{Deadline: 4, Need: 1, Floor: 1, Repeat: decision.RepeatKeyed, RepeatWindow: 0.2},
+			{Deadline: 4, Need: 1, Floor: 1, SecondStep: 2},
+			{Deadline: 4, Need: 1, Floor: 0.5, SecondStep: 2}}}
 	r.b = broker.New(broker.Options{Settings: set, OpenCap: 7}, r.script, r.link)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
--- a/internal/broker/call.go
+++ b/internal/broker/call.go
@@ -43,6 +43,8 @@
 // Reply is how a call ended, as the link saw it.
 type Reply struct {
 	Status decision.Status
+	Score  int64 // of a served part: those with the highest scores are chosen for a second step
+	Scored bool  // the server told a score
 	Load   decision.Load
 	Value  []byte // of a served part; must outlive the call
 }
@@ -54,6 +56,7 @@
 	Class    int
 	Unsafe   bool // it must not run twice
 	Text     []byte
+	Second   *FirstStep // of a part of a second step: what the first step brought; nil: a part of the first
 	Server   *Server
 	Addr     string
 	Deadline time.Time
@@ -117,7 +120,7 @@
 		return
 	}
 	q := pt.q
-	c.Query, c.Shard, c.Class, c.Text = q.req.ID, pt.Shard, q.req.Class, q.req.Text
+	c.Query, c.Shard, c.Class, c.Text, c.Second = q.req.ID, pt.Shard, q.req.Class, q.req.Text, pt.second
 	c.Unsafe = q.class.Repeat == decision.RepeatUnsafe
 	c.Server, c.Addr = s, s.Addr
 	c.Deadline = q.deadline
@@ -184,6 +187,9 @@
 func (b *Broker) ended(c *Call, r Reply) {
 	pt := c.pt
 	c.stop()
+	if r.Status == decision.OK && !r.Scored && pt.ranked() {
+		r.Status = decision.Error // the second step could not be chosen by it: a spoilt answer
+	}
 	c.Server.book(r.Status)
 	pt.live = nil
 	switch r.Status {
@@ -196,7 +202,7 @@
 		pt.mayRun = true
 	}
 	if r.Status == decision.OK && !pt.over {
-		pt.in, pt.value = true, r.Value
+		pt.in, pt.value, pt.score = true, r.Value, r.Score
 	}
 	if pt.over {
 		delete(b.parts, pt.id)
--- a/internal/broker/query.go
+++ b/internal/broker/query.go
@@ -40,7 +40,8 @@
 	client   Client
 	id       decision.RequestID
 	class    decision.Class
-	parts    []*part
+	parts    []*part    // of the present step
+	first    *FirstStep // what the first step brought; nil: it is the present one
 	deadline time.Time
 	stop     func() // the deadline's timer
 }
@@ -54,8 +55,10 @@
 	mayRun   bool      // an attempt that ended may have run
 	until    time.Time // then no repeat begins any more, since servers do not drop it; zero: nothing forbids it
 	in       bool
-	over     bool // its query has ended
+	over     bool // its step or its query has ended
 	value    []byte
+	score    int64
+	second   *FirstStep // of a part of a second step; nil: of the first
 }
 
 // windowLead is for a repeat's way to its server: the window counts up to its last byte.
@@ -179,10 +182,20 @@
 	q.stop()
 	delete(b.queries, q.id)
 	delete(b.byName, q.req.ID)
-	b.open -= 1 + len(q.parts)
+	b.release(1 + len(q.parts))
+	b.endStep(q)
+}
+
+// release gives room for so many queries and parts back.
+func (b *Broker) release(n int) {
+	b.open -= n
 	if b.opt.Open != nil {
-		b.opt.Open.Give(1 + len(q.parts))
+		b.opt.Open.Give(n)
 	}
+}
+
+// endStep drops the parts of the present step.
+func (b *Broker) endStep(q *query) {
 	for _, pt := range q.parts {
 		pt.over = true
 		if pt.live == nil {
@@ -207,24 +220,56 @@
 // answer makes the answer from the parts that are in. Under the class's floor there is none, and it is
 // marked whole only if it is, whatever the Decider says.
 func (q *query) answer(whole bool) Result {
-	r := Result{Outcome: Answered}
-	in := 0.0
+	if q.awaitsSecond() {
+		return Result{Outcome: Failed}
+	}
+	if !q.enough() {
+		return Result{Outcome: Failed}
+	}
+	r := Result{Outcome: Answered, Whole: whole && q.whole()}
 	for _, pt := range q.parts {
 		if pt.in {
-			in += pt.Share
 			r.Values = append(r.Values, Value{pt.Shard, pt.value})
 		}
 	}
-	if in < min(q.class.Floor, q.class.Need)-sumSlack {
-		return Result{Outcome: Failed}
-	}
-	r.Whole = whole && in >= q.class.Need-sumSlack
 	return r
 }
 
+// weight is that of the present step's parts that are in.
+func (q *query) weight() (in float64) {
+	for _, pt := range q.parts {
+		if pt.in {
+			in += pt.Share
+		}
+	}
+	return in
+}
+
+// need is the weight of the present step's parts that makes it whole: a second step needs all of them.
+func (q *query) need() float64 {
+	if q.first != nil {
+		return 1
+	}
+	return q.class.Need
+}
+
+// enough tells whether the present step may be closed with the parts that are in. The class's floor holds for each step.
+func (q *query) enough() bool {
+	least := q.need()
+	if q.class.Floor < q.class.Need {
+		least = min(q.class.Floor, least)
+	}
+	return q.weight() >= least-sumSlack
+}
+
+// whole tells whether the present step is whole, and the one before it was.
+func (q *query) whole() bool {
+	return q.weight() >= q.need()-sumSlack && (q.first == nil || q.first.Whole)
+}
+
 // refusal refuses a query, unless an unsafe part of it may have run: then it has failed.
 func (q *query) refusal(retryAfter float64) Result {
-	ran := slices.ContainsFunc(q.parts, func(pt *part) bool {
+	ran := q.first != nil || slices.ContainsFunc(q.parts, func(pt *part) bool {
 		return pt.mayRun || pt.in || pt.live != nil && pt.live.begun()
 	})
 	if ran && q.class.Repeat != decision.RepeatSafe {
--- /dev/null
+++ b/internal/broker/step_test.go
@@ -0,0 +1,237 @@
+package broker_test
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mothrouter/internal/broker"
+	"mothrouter/internal/decision"
+)
+
+// scored is a served part with a score.
+func scored(score int64, value string) broker.Reply {
+	return broker.Reply{Status: decision.OK, Score: score, Scored: true, Load: decision.NoLoad, Value: []byte(value)}
+}
+
+// firstStep plays the first step of a query of so many parts at s1: all come in with scores that fall with their shard.
+func (r *rig) firstStep(name string, class, parts int) (query decision.RequestID, c client, req *broker.Request) {
+	query, first, c, req := r.take(name, class, parts, 2*time.Second)
+	r.list(decision.ListDelta, "s1", 1, decision.Ready, "s2", 2, decision.Ready, "s3", 3, decision.Ready, "s0", 0, decision.Ready)
+	for i := range parts {
+		r.send(first+decision.RequestID(i), server(i+1)).Done(scored(int64(-i), "first"))
+		event[decision.Ended](r)
+	}
+	return query, c, req
+}
+
+// server holds a shard, of four cells.
+func server(shard int) string { return []string{"s0", "s1", "s2", "s3"}[shard%4] }
+
+// wantStep is the second step by the slow and obvious rule: of the shards that are in, again and again the one with the
+// highest score, the lower shard first where scores are equal.
+func wantStep(scores map[int]int64, most int) (chosen []int) {
+	for len(chosen) < most && len(chosen) < len(scores) {
+		best := -1
+		for shard, score := range scores {
+			if !slices.Contains(chosen, shard) &&
+				(best < 0 || score > scores[best] || score == scores[best] && shard < best) {
+				best = shard
+			}
+		}
+		chosen = append(chosen, best)
+	}
+	return chosen
+}
+
+func TestTheSecondStepGoesToTheHighestScores(t *testing.T) {
+	for seed := range uint64(40) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		r := newRig(t)
+		r.list(decision.ListDelta, "s3", 3, decision.Ready)
+		class, parts := twoStep, 1+rng.IntN(6)
+		if seed%2 == 1 {
+			class = twoStepPartial
+		}
+		q, first, c, _ := r.take("q", class, parts, 2*time.Second)
+		scores, from, missing := map[int]int64{}, []int(nil), 0
+		for _, i := range rng.Perm(parts) {
+			if class == twoStepPartial && missing < parts/2 && rng.IntN(3) == 0 {
+				missing++
+				continue
+			}
+			scores[i+1] = int64(rng.IntN(3)) // with equal ones among them
+			r.send(first+decision.RequestID(i), server(i+1)).Done(scored(scores[i+1], "first"))
+			event[decision.Ended](r)
+			from = append(from, i+1)
+		}
+		slices.Sort(from)
+		r.do(decision.Answer{ID: q, Whole: true})
+		want := wantStep(scores, 2)
+		var second []decision.Part
+		for range want {
+			second = append(second, event[decision.Part](r))
+		}
+		require.Empty(t, r.events)
+		var values []broker.Value
+		for i, pt := range second {
+			require.Equal(t, want[i], pt.Shard)
+			require.InDelta(t, 1/float64(len(want)), pt.Weight, 1e-9)
+			call := r.send(pt.ID, server(pt.Shard))
+			require.Equal(t, &broker.FirstStep{From: from, Whole: missing == 0}, call.Second)
+			call.Done(broker.Reply{Status: decision.OK, Load: decision.NoLoad, Value: []byte("second")}) // scores are over
+			event[decision.Ended](r)
+			values = append(values, broker.Value{Shard: pt.Shard, Data: []byte("second")})
+		}
+		r.do(decision.Answer{ID: q, Whole: true})
+		require.Equal(t, broker.Result{Whole: missing == 0, Values: values}, <-c, "seed %d", seed)
+	}
+}
+
+func TestAnAnswerWithoutAScoreCannotBeRanked(t *testing.T) {
+	r := newRig(t)
+	_, part, _, _ := r.take("q", twoStep, 1, time.Second)
+	r.send(part, "s1").Done(done(decision.OK))
+	require.Equal(t, decision.Error, event[decision.Ended](r).Status)
+	r.send(part, "s2").Done(scored(1, "v"))
+	require.Equal(t, decision.OK, event[decision.Ended](r).Status)
+}
+
+func TestNoSecondStepUnderTheFloor(t *testing.T) {
+	for class, want := range map[int]broker.Outcome{twoStep: broker.Failed, twoStepPartial: broker.Failed} {
+		r := newRig(t)
+		q, part, c, _ := r.take("q", class, 3, time.Second)
+		r.send(part, "s1").Done(scored(1, "v"))
+		event[decision.Ended](r)
+		r.do(decision.Answer{ID: q, Whole: true})
+		require.Equal(t, broker.Result{Outcome: want}, <-c)
+	}
+}
+
+// A second step requires all its parts, or the class's floor where there is one; and it is whole only if both are.
+func TestWhatTheSecondStepRequires(t *testing.T) {
+	for class, want := range map[int]broker.Result{
+		twoStep:        {Outcome: broker.Failed},
+		twoStepPartial: {Values: []broker.Value{{Shard: 1, Data: []byte("second")}}},
+	} {
+		r := newRig(t)
+		q, c, _ := r.firstStep("q", class, 3)
+		r.do(decision.Answer{ID: q, Whole: true})
+		r.send(event[decision.Part](r).ID, "s1").Done(scored(0, "second")) // one of two
+		event[decision.Ended](r)
+		r.do(decision.Answer{ID: q, Whole: true})
+		require.Equal(t, want, <-c)
+	}
+}
+
+func TestTheClientLeavesBetweenTheSteps(t *testing.T) {
+	r := newRig(t)
+	q, c, req := r.firstStep("q", twoStep, 3)
+	r.do(decision.Answer{ID: q, Whole: true})
+	second, other := event[decision.Part](r).ID, event[decision.Part](r).ID
+	waiting := r.send(second, "s1")
+	r.b.Leave(req)
+	require.Equal(t, decision.NotSent, event[decision.Ended](r).Status)
+	require.Equal(t, q, event[decision.ClientGone](r).ID)
+	require.False(t, waiting.Begin())
+	r.do(decision.Send{ID: other, Server: "s2"}, decision.Answer{ID: q, Whole: true})
+	require.Empty(t, r.sent)
+	require.Empty(t, c)
+	r.take("q", twoStep, 6, time.Second) // its name and all its room are free again
+}
+
+func TestAServerDrainsBetweenTheSteps(t *testing.T) {
+	r := newRig(t)
+	q, _, _ := r.firstStep("q", twoStep, 3)
+	r.do(decision.Answer{ID: q, Whole: true})
+	second := event[decision.Part](r).ID
+	waiting := r.send(second, "s1")
+	r.list(decision.ListDelta, "s1", 1, decision.Draining)
+	require.False(t, waiting.Begin())
+	require.Equal(t, decision.NotSent, event[decision.Ended](r).Status)
+	r.do(decision.Send{ID: second, Server: "s1"})
+	require.Equal(t, decision.NotSent, event[decision.Ended](r).Status)
+	r.send(second, "s2").Done(scored(0, "second"))
+	require.Equal(t, decision.OK, event[decision.Ended](r).Status)
+}
+
+// What is held between the steps when the process ends is refused, since the first step's values are no answer; what
+// has the second step's is answered. A query whose steps may not run twice has failed: its first step has run.
+func TestTheProcessEndsBetweenTheSteps(t *testing.T) {
+	refused := broker.Result{Outcome: broker.Refused, RetryAfter: 0.5}
+	for _, in := range []int{0, 1, 2} {
+		r := newRig(t)
+		q, c, _ := r.firstStep("q", twoStep, 3)
+		r.do(decision.Answer{ID: q, Whole: true})
+		second := []decision.Part{event[decision.Part](r), event[decision.Part](r)}
+		var values []broker.Value
+		for i := range in {
+			r.send(second[i].ID, server(i+1)).Done(scored(0, "second"))
+			event[decision.Ended](r)
+			values = append(values, broker.Value{Shard: i + 1, Data: []byte("second")})
+		}
+		r.b.EndBy(time.Now().Add(50 * time.Millisecond))
+		want := refused
+		if in == 2 {
+			want = broker.Result{Whole: true, Values: values}
+		}
+		require.Equal(t, want, <-c)
+	}
+	r := newRig(t)
+	_, c, _ := r.firstStep("q", twoStep, 3) // all of the first step is in, the second has not begun
+	r.b.EndBy(time.Now().Add(50 * time.Millisecond))
+	require.Equal(t, refused, <-c)
+}
+
+// The first step's attempts that are still out end with it: a late answer is nobody's, and one that has not begun does
+// not begin.
+func TestTheFirstStepIsOver(t *testing.T) {
+	r := newRig(t)
+	q, first, c, _ := r.take("q", twoStepPartial, 4, 2*time.Second)
+	r.list(decision.ListDelta, "s3", 3, decision.Ready)
+	for i := range 2 {
+		r.send(first+decision.RequestID(i), server(i+1)).Done(scored(int64(i), "first"))
+		event[decision.Ended](r)
+	}
+	late := r.send(first+2, "s3")
+	require.True(t, late.Begin())
+	waiting := r.send(first+3, "s0")
+	r.do(decision.Answer{ID: q})
+	require.Equal(t, first+3, event[decision.Ended](r).ID)
+	require.False(t, waiting.Begin())
+	a, b := event[decision.Part](r), event[decision.Part](r)
+	require.Equal(t, []int{2, 1}, []int{a.Shard, b.Shard})
+	late.Done(scored(9, "late"))
+	require.Equal(t, first+2, event[decision.Ended](r).ID)
+	r.do(decision.Send{ID: first + 2, Server: "s3"})
+	require.Empty(t, r.sent)
+	for _, pt := range []decision.Part{a, b} {
+		r.send(pt.ID, server(pt.Shard)).Done(scored(0, "second"))
+		event[decision.Ended](r)
+	}
+	r.do(decision.Answer{ID: q, Whole: true})
+	got := <-c
+	require.False(t, got.Whole)
+	slices.SortFunc(got.Values, func(a, b broker.Value) int { return cmp.Compare(a.Shard, b.Shard) })
+	require.Equal(t, []broker.Value{{1, []byte("second")}, {2, []byte("second")}}, got.Values)
+}
+
+// Of 7 queries and parts, a query of six parts holds all, and three once its second step has begun.
+func TestRoomBetweenTheSteps(t *testing.T) {
+	r := newRig(t)
+	q, c, _ := r.firstStep("q", twoStep, 6)
+	full := make(client, 1)
+	r.b.Take(&broker.Request{ID: "q2", Arrived: time.Now(), Patience: time.Second, Parts: make([]broker.Part, 1)}, full)
+	require.Equal(t, broker.Refused, (<-full).Outcome)
+	r.do(decision.Answer{ID: q, Whole: true})
+	r.take("q3", safe, 3, time.Second)
+	r.b.Take(&broker.Request{ID: "q4", Arrived: time.Now(), Patience: time.Second, Parts: make([]broker.Part, 1)}, full)
+	require.Equal(t, broker.Refused, (<-full).Outcome)
+	r.do(decision.Refuse{ID: q})
+	require.Equal(t, broker.Refused, (<-c).Outcome)
+	r.take("q5", safe, 2, time.Second)
+}
--- a/internal/flight/flight.go
+++ b/internal/flight/flight.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"mothrouter/internal/broker"
+	"mothrouter/internal/frame"
 	"mothrouter/internal/httpwire"
 )
 
@@ -30,9 +31,28 @@
 
 // PartTicket asks a record server for one part.
 type PartTicket struct {
-	ID        string `json:"id"` // the query's id, a dot and the partition
+	ID        string `json:"id"` // the query's id, a dot and the partition; behind them ".p2" in a second step
 	Partition int    `json:"partition"`
 	Query     string `json:"query"`
+	// FirstStep is what the first step brought, in a part of a second step; absent: a part of the first.
+	FirstStep *FirstStep `json:"first_step,omitempty"`
+}
+
+// FirstStep is what a second step's parts tell of the first step.
+type FirstStep struct {
+	From  []int `json:"from"` // the partitions that were in, ascending
+	Whole bool  `json:"whole"`
+}
+
+// partTicket is the ticket of a call.
+func partTicket(c *broker.Call) PartTicket {
+	t := PartTicket{
+		ID: frame.PartID(c.Query, c.Shard, c.Second != nil), Partition: c.Shard, Query: string(c.Text),
+	}
+	if c.Second != nil {
+		t.FirstStep = &FirstStep{From: c.Second.From, Whole: c.Second.Whole}
+	}
+	return t
 }
 
 // Closing is the metadata of an answer's last message. An answer without it has been cut and is not whole.
--- a/internal/flight/link.go
+++ b/internal/flight/link.go
@@ -1,11 +1,13 @@
 package flight
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"io"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 	"unicode/utf8"
@@ -225,7 +227,7 @@
 		return reply(decision.NotSent) // which tells nothing of the server
 	}
 	defer l.release(c.Addr, ch)
-	ticket, err := json.Marshal(PartTicket{frame.PartID(c.Query, c.Shard), c.Shard, string(c.Text)})
+	ticket, err := json.Marshal(partTicket(c))
 	if err != nil {
 		return reply(decision.NotSent)
 	}
@@ -234,51 +236,70 @@
 	if err != nil {
 		return broken(err, g)
 	}
-	value, load, err := readPart(stream)
+	r, err := readPart(stream)
 	switch {
 	case err != nil:
 		return broken(err, g)
-	case !utf8.Valid(value):
+	case !utf8.Valid(r.Value):
 		return reply(decision.Error) // no answer could carry it
 	}
-	return broker.Reply{Status: decision.OK, Load: load, Value: value}
+	return r
 }
 
 var errTooLong = errors.New("the value is too long")
 
 // readPart reads a part's stream to its status. Only a stream that ends well has brought the part: one that
 // breaks halfway leaves it not in.
-func readPart(stream flight.FlightService_DoGetClient) ([]byte, decision.Load, error) {
+func readPart(stream flight.FlightService_DoGetClient) (broker.Reply, error) {
+	part := broker.Reply{Status: decision.OK, Load: decision.NoLoad, Value: []byte{}}
 	r, err := flight.NewRecordReader(stream)
 	if err != nil {
-		return nil, decision.NoLoad, err
+		return part, err
 	}
 	defer r.Release()
 	column := r.Schema().FieldIndices("value")
 	if len(column) != 1 {
-		return nil, decision.NoLoad, errors.New("a part's schema has one column named value")
+		return part, errors.New("a part's schema has one column named value")
 	}
-	value, load := []byte{}, decision.NoLoad
 	for r.Next() {
 		rows, ok := r.RecordBatch().Column(column[0]).(*array.String)
 		if !ok {
-			return nil, load, errors.New("a part's value is utf8")
+			return part, errors.New("a part's value is utf8")
 		}
 		for i := range rows.Len() {
-			if value = append(value, rows.Value(i)...); len(value) > httpwire.MaxBody {
-				return nil, load, errTooLong
-			}
-		}
-		if md := r.LatestAppMetadata(); len(md) > 0 {
-			if report, err := frame.ParseLoad(md); err == nil { // one that cannot be read spoils no value
-				load = report
+			if part.Value = append(part.Value, rows.Value(i)...); len(part.Value) > httpwire.MaxBody {
+				return part, errTooLong
 			}
 		}
+		readMetadata(r.LatestAppMetadata(), &part)
 	}
 	if err := r.Err(); err != nil && !errors.Is(err, io.EOF) {
-		return nil, load, err
+		return part, err
+	}
+	return part, nil
+}
+
+// scoreName is the metadata's name for the score of a part.
+const scoreName = "score"
+
+// readMetadata takes the load report and the score from a message's metadata, name=value pairs set apart by commas.
+// What cannot be read spoils no value.
+func readMetadata(text []byte, part *broker.Reply) {
+	if len(text) == 0 {
+		return
+	}
+	if report, err := frame.ParseLoad(text); err == nil {
+		part.Load = report
+	}
+	for pair := range bytes.SplitSeq(text, []byte{','}) {
+		name, number, _ := bytes.Cut(pair, []byte{'='})
+		if string(name) != scoreName {
+			continue
+		}
+		if score, err := strconv.ParseInt(string(number), 10, 64); err == nil {
+			part.Score, part.Scored = score, true
+		}
 	}
-	return value, load, nil
 }
 
 // broken is the outcome of a call that ended without an answer. Nothing can have run if its header was
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -34,6 +34,8 @@
 type Reply struct {
 	ID     []byte
 	Status decision.Status
+	Score  int64 // by which the shards of a second step are chosen
+	Scored bool  // the score could be read
 	Load   decision.Load
 	Value  []byte
 }
@@ -124,10 +126,12 @@
 	if !ok {
 		return r, errors.New("an R frame without a line")
 	}
-	var end, report []byte
-	if r.ID, line, ok = bytes.Cut(line, []byte{' '}); ok {
-		end, line, _ = bytes.Cut(line, []byte{' '})
-		_, report, ok = bytes.Cut(line, []byte{' '}) // the score tells a broker nothing
+	var end, score, report []byte
+	r.ID, line, _ = bytes.Cut(line, []byte{' '})
+	end, line, _ = bytes.Cut(line, []byte{' '})
+	score, report, _ = bytes.Cut(line, []byte{' '})
+	if n, err := strconv.ParseInt(string(score), 10, 64); err == nil {
+		r.Score, r.Scored = n, true
 	}
 	if r.Status, ok = ends[string(end)]; !ok {
 		return r, fmt.Errorf("an R frame that ends with %q", end)
@@ -171,17 +175,55 @@
 	return l, nil
 }
 
-// PartID is a part's id: the query's, a dot and the shard.
-func PartID(query string, shard int) string { return query + "." + strconv.Itoa(shard) }
+// secondSuffix ends the ids of a second step's parts.
+const secondSuffix = ".p2"
+
+// PartID is a part's id: the query's, a dot and the shard, and a mark where it belongs to a second step.
+func PartID(query string, shard int, second bool) string {
+	id := query + "." + strconv.Itoa(shard)
+	if second {
+		id += secondSuffix
+	}
+	return id
+}
+
+// Call is one part in a frame S.
+type Call struct {
+	ID     string
+	Shard  int
+	WaitMS int    // how long the broker waits, in milliseconds
+	Text   []byte // the query's text
+	Second bool   // a part of a second step, whose list tells of the first one:
+	From   []int  // the shards that were in
+	Whole  bool   // whether it was whole
+}
 
 // AppendCall writes a frame S with one part behind b.
-func AppendCall(b []byte, id string, shard, waitMS int, text []byte) []byte {
+func AppendCall(b []byte, c Call) []byte {
 	at := len(b)
-	b = append(append(append(b, 0, 0, 0, 0, 'S'), id...), ' ')
-	b = strconv.AppendInt(b, int64(shard), 10)
-	b = strconv.AppendInt(append(b, " d="...), int64(waitMS), 10)
-	b = strconv.AppendInt(append(b, ' '), int64(len(text)), 10)
-	return closeFrame(append(append(b, '\n'), text...), at)
+	b = append(append(append(b, 0, 0, 0, 0, 'S'), c.ID...), ' ')
+	b = strconv.AppendInt(b, int64(c.Shard), 10)
+	b = strconv.AppendInt(append(b, " d="...), int64(c.WaitMS), 10)
+	if c.Second {
+		b = appendFirstStep(b, c.From, c.Whole)
+	}
+	b = strconv.AppendInt(append(b, ' '), int64(len(c.Text)), 10)
+	return closeFrame(append(append(b, '\n'), c.Text...), at)
+}
+
+// appendFirstStep writes what a second step's list tells of the first step.
+func appendFirstStep(b []byte, from []int, whole bool) []byte {
+	b = append(b, ",from="...)
+	for i, shard := range from {
+		if i > 0 {
+			b = append(b, '+')
+		}
+		b = strconv.AppendInt(b, int64(shard), 10)
+	}
+	if whole {
+		return append(b, ",whole=1"...)
+	}
+	return append(b, ",whole=0"...)
 }
 
 // Append writes a frame of any other letter behind b.
--- a/internal/frame/frame_test.go
+++ b/internal/frame/frame_test.go
@@ -56,8 +56,13 @@
 }
 
 func TestAppend(t *testing.T) {
-	b := frame.AppendCall(nil, frame.PartID("9b1f03aa5c7e2d41", 3), 3, 240, []byte("c41e77d0"))
+	b := frame.AppendCall(nil, frame.Call{ID: frame.PartID("9b1f03aa5c7e2d41", 3, false), Shard: 3, WaitMS: 240, Text: []byte("c41e77d0")})
 	require.Equal(t, "\x00\x00\x00\x26S9b1f03aa5c7e2d41.3 3 d=240 8\nc41e77d0", string(b))
+	second := frame.Call{ID: frame.PartID("q", 7, true), Shard: 7, WaitMS: 90, Text: []byte("x"), Second: true,
+		From: []int{3, 5, 7}, Whole: true}
+	require.Equal(t, "\x00\x00\x00\x25Sq.7.p2 7 d=90,from=3+5+7,whole=1 1\nx", string(frame.AppendCall(nil, second)))
+	second.From, second.Whole = []int{7}, false
+	require.Equal(t, "\x00\x00\x00\x21Sq.7.p2 7 d=90,from=7,whole=0 1\nx", string(frame.AppendCall(nil, second)))
 	require.Equal(t, "\x00\x00\x00\x01M\x00\x00\x00\x04Cq.1", string(frame.Append(frame.Append(nil, 'M', ""), 'C', "q.1")))
 }
 
@@ -69,3 +74,26 @@
 		}
 	})
 }
+
+func TestScore(t *testing.T) {
+	for line, want := range map[string]struct {
+		score  int64
+		scored bool
+	}{
+		"q.1 done 1840277719 inflight=7": {1840277719, true},
+		"q.1 done -5":                    {-5, true},
+		"q.1 done":                       {0, false},
+		"q.1 done - -":                   {0, false},
+		"q.1 done 1e99 -":                {0, false},
+	} {
+		var d frame.Reader
+		b := frame.Append(nil, 'R', line+"\nvalue")
+		d.Filled(copy(d.Space(), b))
+		m, ok, err := d.Next()
+		require.NoError(t, err, line)
+		require.True(t, ok, line)
+		require.Equal(t, want.score, m.Reply.Score, line)
+		require.Equal(t, want.scored, m.Reply.Scored, line)
+		require.Equal(t, "value", string(m.Reply.Value))
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -78,7 +78,7 @@
 	idle    *time.Timer     // runs while nothing is out
 }
 
-func partID(c *broker.Call) string { return frame.PartID(c.Query, c.Shard) }
+func partID(c *broker.Call) string { return frame.PartID(c.Query, c.Shard, c.Second != nil) }
 
 func newConn(l *Link, addr string, server *broker.Server) *conn {
 	return &conn{
@@ -365,7 +365,11 @@
 	}
 	j.state = jobWriting
 	wait := max(int(time.Until(j.call.Deadline)/time.Millisecond), 1)
-	return frame.AppendCall(buf, j.id, j.call.Shard, wait, j.call.Text), true
+	call := frame.Call{ID: j.id, Shard: j.call.Shard, WaitMS: wait, Text: j.call.Text}
+	if second := j.call.Second; second != nil {
+		call.Second, call.From, call.Whole = true, second.From, second.Whole
+	}
+	return frame.AppendCall(buf, call), true
 }
 
 // read reads frames until the connection ends.
@@ -435,7 +439,7 @@
 			}
 			break
 		}
-		r := broker.Reply{Status: m.Reply.Status, Load: m.Reply.Load}
+		r := broker.Reply{Status: m.Reply.Status, Score: m.Reply.Score, Scored: m.Reply.Scored, Load: m.Reply.Load}
 		if r.Status == decision.OK && !utf8.Valid(m.Reply.Value) {
 			return fmt.Errorf("%w: a value that no answer can carry", errSpoilt)
 		}
