Refuse no query while an unsafe part of it may have begun, and test cancels and deadlines of Flight apart

Two ways to call refused what may run, found while TestFlightCancelAndDeadline was looked into:

- A call that had begun and ended, but whose end the loop had not read yet, counted as never begun.
The state of a call now keeps that it began.
- A call that still waited was seen not to have begun, and could begin before its query was forgotten.
The query is now forgotten first; what has not begun by then never will.

Both have a test that fails on the code before.

The test itself asked too much of a busy machine. Its Unavailable was right: after a cancelled part that took some 30 ms the Decider turned the next query of 300 ms away before any attempt (attempts 0; the record server got nothing). It also wanted an answer in time on a real clock.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -196,7 +196,8 @@
 		}
 	case decision.Refuse:
 		if q := b.queries[a.ID]; q != nil {
-			b.finish(q, q.refusal(a.RetryAfter))
+			b.forget(q) // first: what has not begun by now never will, so that the refusal holds
+			q.client.Finish(q.refusal(a.RetryAfter))
 		}
 	case decision.Fail:
 		if q := b.queries[a.ID]; q != nil {
--- a/internal/broker/call.go
+++ b/internal/broker/call.go
@@ -67,9 +67,10 @@
 	stop   func() // the time-out's timer; the loop's
 }
 
+// The state of a call: bits that are set once and stay set, so that one that is over still tells whether it began.
 const (
-	callWaiting int32 = iota
-	callBegun         // its first byte is being written, or was
+	callWaiting int32 = 0
+	callBegun   int32 = 1 << iota // its first byte is being written, or was
 	callOver
 )
 
@@ -86,14 +87,15 @@
 }
 
 // Over tells whether nobody waits for the call any more.
-func (c *Call) Over() bool { return c.state.Load() == callOver }
+func (c *Call) Over() bool { return c.state.Load()&callOver != 0 }
 
-func (c *Call) begun() bool { return c.state.Load() == callBegun }
+// begun tells whether the call may have run, though its end may not have been read yet.
+func (c *Call) begun() bool { return c.state.Load()&callBegun != 0 }
 
 // Done tells how a call ended. Only the first end counts: a late answer to an attempt that was timed out or
 // cancelled must not end another, nor count.
 func (c *Call) Done(r Reply) {
-	if c.state.Swap(callOver) == callOver {
+	if c.state.Or(callOver)&callOver != 0 {
 		return
 	}
 	c.b.post(func() { c.b.ended(c, r) })
@@ -170,10 +172,11 @@
 
 // giveUp ends the wait for a call. One whose first byte was never written cannot have run.
 func (b *Broker) giveUp(c *Call, status decision.Status) {
-	switch c.state.Swap(callOver) {
-	case callOver:
+	was := c.state.Or(callOver)
+	if was&callOver != 0 {
 		return // its end is on the way here
-	case callWaiting:
+	}
+	if was == callWaiting {
 		status = decision.NotSent
 	}
 	b.link.Cancel(c)
--- a/internal/broker/query.go
+++ b/internal/broker/query.go
@@ -131,11 +131,12 @@
 // Decider forgets it or ends it too late.
 func (b *Broker) guard(q *query) {
 	q.stop = b.after(time.Until(q.deadline)-answerLead, func() {
+		b.forget(q) // first: what has not begun by now never will, so that a refusal holds
 		last := Result{Outcome: Overdue}
 		if q.deadline.Equal(b.endBy) { // the client would wait on
 			last = q.lastWord(b.advice())
 		}
-		b.finish(q, last)
+		q.client.Finish(last)
 		b.tell(decision.ClientGone{ID: q.id})
 	})
 }
@@ -222,7 +223,8 @@
 	return r
 }
 
-// refusal refuses a query, unless an unsafe part of it may have run: then it has failed.
+// refusal refuses a query, unless an unsafe part of it may have run: then it has failed. The query has been forgotten,
+// so that none of its calls can begin any more.
 func (q *query) refusal(retryAfter float64) Result {
 	ran := slices.ContainsFunc(q.parts, func(pt *part) bool {
 		return pt.mayRun || pt.in || pt.live != nil && pt.live.begun()
--- /dev/null
+++ b/internal/broker/refusal_test.go
@@ -0,0 +1,49 @@
+package broker_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mothrouter/internal/broker"
+	"mothrouter/internal/decision"
+)
+
+// A call's end that the loop has not come to yet counts all the same: an attempt of an unsafe part has begun, so that
+// its query has failed, whatever that end will say.
+func TestNoRefusalWhileTheEndOfABegunCallIsUnread(t *testing.T) {
+	r := newRig(t)
+	other := make(stuck)
+	r.b.Take(&broker.Request{ID: "other", Class: safe, Arrived: time.Now(), Patience: 3 * time.Second}, other)
+	otherID := event[decision.Query](r).ID
+	id, part, c, _ := r.take("q", unsafe, 1, 3*time.Second)
+	call := r.send(part, "s1")
+	require.True(t, call.Begin())
+	r.do(decision.Refuse{ID: otherID}, decision.Refuse{ID: id})
+	<-other // the loop waits here, between the two refusals
+	call.Done(done(decision.Reset))
+	other <- struct{}{}
+	require.Equal(t, broker.Failed, (<-c).Outcome)
+}
+
+// A call that has not begun when its query is refused must not begin between the look at it and its end.
+func TestNothingBeginsWhileAQueryIsRefused(t *testing.T) {
+	r := newRig(t)
+	id, first, c, _ := r.take("q", unsafe, 2, 3*time.Second)
+	calls := []*broker.Call{r.send(first, "s1"), r.send(first+1, "s2")}
+	for range cap(r.cancelled) {
+		r.cancelled <- nil // so that the loop waits where it cancels the first call
+	}
+	r.do(decision.Refuse{ID: id})
+	require.Eventually(t, calls[0].Over, 2*time.Second, time.Millisecond)
+	require.False(t, calls[0].Begin())
+	begun := calls[1].Begin()
+	for range cap(r.cancelled) {
+		<-r.cancelled
+	}
+	outcome := (<-c).Outcome
+	require.False(t, begun && outcome == broker.Refused, "the client may send again what runs")
+	require.Equal(t, begun, outcome == broker.Failed)
+	require.Equal(t, !begun, outcome == broker.Refused)
+}
--- /dev/null
+++ b/internal/flight/deadline_test.go
@@ -0,0 +1,68 @@
+package flight
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apache/arrow-go/v18/arrow/flight"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"mothrouter/internal/broker"
+	"mothrouter/internal/decision"
+	"mothrouter/internal/httpwire"
+)
+
+// silentLink begins every call and hears no answer.
+type silentLink struct{ sent chan *broker.Call }
+
+func (l silentLink) Send(c *broker.Call) {
+	c.Begin()
+	l.sent <- c
+}
+func (l silentLink) Cancel(*broker.Call) {}
+func (l silentLink) Probe(*broker.Probe) {}
+
+// serverStream is the server's end of a call that a test makes without a socket.
+type serverStream struct {
+	flight.FlightService_DoGetServer
+	ctx context.Context
+}
+
+func (s serverStream) Context() context.Context { return s.ctx }
+
+// An unsafe part that is out when the client's time ends has the query failed, by the broker's own word and before
+// that time. The test's time is virtual: on a real clock a busy machine delays the word past the deadline.
+func TestAnUnsafePartThatIsOutFailsBeforeTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		set := decision.Settings{Cells: 1, Reach: 1, MayCancel: true, Tick: 0.005, Classes: []decision.Class{
+			{Aim: 1, Deadline: 5, Worth: 2, Repeat: decision.RepeatUnsafe, Need: 1, Floor: 1}}}
+		link := silentLink{make(chan *broker.Call, 2)}
+		b := broker.New(broker.Options{Settings: set, Log: slog.New(slog.DiscardHandler)}, decision.New(set, 1), link)
+		running, stop := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer stop()
+		go b.Run(running)
+		b.Update(broker.List{Mode: decision.ListFull, Servers: []broker.ListEntry{
+			{Addr: "s0", Server: decision.Server{ID: "s0", State: decision.Ready}}}})
+		front := NewFront(Options{Classes: map[string]int{"charge-post": 0}, Patience: make([]time.Duration, 1)}, b)
+		text, err := json.Marshal(Ticket{ID: "q1", Class: "charge-post", Body: httpwire.Body{
+			Query: "x", Targets: []httpwire.Target{{Share: 1}}}})
+		require.NoError(t, err)
+		const patience = 300 * time.Millisecond
+		begin := time.Now()
+		ctx, cancel := context.WithDeadline(t.Context(), begin.Add(patience))
+		defer cancel()
+		err = front.DoGet(&flight.Ticket{Ticket: text}, serverStream{ctx: ctx})
+		require.Equal(t, codes.Aborted, status.Code(err), "%v", err)
+		require.Less(t, time.Since(begin), patience)
+		require.Greater(t, time.Since(begin), patience-50*time.Millisecond)
+		require.Len(t, link.sent, 1)
+		require.False(t, (<-link.sent).Deadline.After(begin.Add(patience)))
+	})
+}
