--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -127,7 +127,7 @@
 	var end, report []byte
 	if r.ID, line, ok = bytes.Cut(line, []byte{' '}); ok {
 		end, line, _ = bytes.Cut(line, []byte{' '})
-		_, report, ok = bytes.Cut(line, []byte{' '}) // the score tells a broker nothing
+		_, report, _ = bytes.Cut(line, []byte{' '}) // the score tells a broker nothing
 	}
 	if r.Status, ok = ends[string(end)]; !ok {
 		return r, fmt.Errorf("an R frame that ends with %q", end)
