Split membership into files of one job each, and name its parts by the words of the field

limits, instance, roster, rings, ping, suspicion, gossip, sync, send, tick, receive, count. heartbeat for beat, confirmation for tell, suspected for doubted, probe for find, fanout for spread, budgets for buckets.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -114,7 +114,7 @@
 			}
 			p.send(p.view.Receive(time.Since(p.began), d.from, d.data))
 		case <-tick.C:
-			tick.Reset(membership.Wake)
+			tick.Reset(membership.TickEvery)
 			p.send(p.view.Tick(time.Since(p.began)))
 			p.look()
 		}
--- /dev/null
+++ b/internal/membership/instance.go
@@ -0,0 +1,98 @@
+package membership
+
+import (
+	"net/netip"
+	"time"
+
+	"mothrouter/internal/plane"
+	"mothrouter/internal/plane/planepb"
+)
+
+// Status is what a member is taken for.
+type Status uint8
+
+const (
+	Alive Status = iota
+	Lost         // silent to all who were asked: dead, or cut off
+	Left         // has said so
+)
+
+func (s Status) String() string { return [...]string{"alive", "lost", "left", "unknown"}[min(s, 3)] }
+
+// Instance is one process of a broker.
+type Instance struct {
+	Name  string
+	Start uint64 // in Unix nanoseconds
+	Addr  netip.AddrPort
+}
+
+// ID is the instance's number.
+func (i Instance) ID() uint64 { return plane.ID(i.Name, i.Start) }
+
+func instance(e *planepb.Entry) Instance { return Instance{e.Name, e.Start, plane.Addr(e)} }
+
+// Member is an instance as others see it.
+type Member struct {
+	Instance
+	Status Status
+}
+
+// member is an instance with what this view knows of it.
+type member struct {
+	Instance
+	id    uint64
+	state state
+	since time.Duration // of the state
+	heard time.Duration // when a datagram of it came, or another heard of it; 0: never
+
+	seq  uint64 // the highest taken
+	seen uint64 // bit i: seq - i was taken
+
+	observed      bool
+	suspected     bool          // observed because it did not answer a ping, whoever else observes it
+	unanswered    time.Duration // when a ping was sent that it never answered, the first since it was heard; 0: none
+	silentSince   time.Duration // as its observer: when it was last known to live, from this process's own wakefulness on
+	askedAt       time.Duration
+	confirmations map[uint64]time.Duration // helpers that found it silent, and when
+
+	news bool // its entry has to be told to others
+}
+
+// state is an epoch, which each revival raises, with a status. The later epoch wins, in it the worse status.
+type state uint8
+
+const statusBits = 2
+
+func (s state) status() Status { return Status(s & (1<<statusBits - 1)) }
+func (s state) epoch() uint8   { return uint8(s) >> statusBits }
+
+// in is the state of the same epoch with a status.
+func (s state) in(status Status) state { return s>>statusBits<<statusBits | state(status) }
+
+// revived is the state of the next epoch, alive.
+func (s state) revived() state { return state((s.epoch()+1)<<statusBits) | state(Alive) }
+
+// supersedes tells that s is later than o. Epochs go round; they are never far apart.
+func (s state) supersedes(o state) bool {
+	if o.status() == Left || s.status() == Left {
+		return s.status() == Left && o.status() != Left
+	}
+	if d := (s.epoch() - o.epoch()) & (1<<(8-statusBits) - 1); d != 0 {
+		return d < 1<<(7-statusBits)
+	}
+	return s.status() > o.status()
+}
+
+// acceptSeq takes a number once. Those that are far behind the latest count as taken.
+func (m *member) acceptSeq(seq uint64) bool {
+	switch {
+	case seq > m.seq:
+		m.seen = m.seen<<min(seq-m.seq, 64) | 1
+		m.seq = seq
+		return true
+	case m.seq-seq >= 64 || m.seen>>(m.seq-seq)&1 == 1:
+		return false
+	}
+	m.seen |= 1 << (m.seq - seq)
+	return true
+}
--- a/internal/membership/net_test.go
+++ b/internal/membership/net_test.go
@@ -106,7 +106,7 @@
 	}
 	w.nodes = append(w.nodes, x)
 	w.byAddr[x.addr] = x
-	w.push(event{at: w.now + time.Duration(w.rng.Int64N(int64(membership.Wake))), to: x})
+	w.push(event{at: w.now + time.Duration(w.rng.Int64N(int64(membership.TickEvery))), to: x})
 	return x
 }
 
@@ -138,7 +138,7 @@
 		}
 		if e.data == nil {
 			w.carry(x, x.Tick(w.now))
-			w.push(event{at: w.now + membership.Wake, to: x})
+			w.push(event{at: w.now + membership.TickEvery, to: x})
 			continue
 		}
 		w.carry(x, x.Receive(w.now, e.from, e.data))
--- /dev/null
+++ b/internal/membership/send.go
@@ -0,0 +1,45 @@
+package membership
+
+import (
+	"net/netip"
+	"time"
+
+	"mothrouter/internal/plane"
+	"mothrouter/internal/plane/planepb"
+)
+
+// tokenBucket bounds what is sent a second.
+type tokenBucket struct {
+	rate, burst, left float64
+	at                time.Duration
+}
+
+// take takes n bytes, all or nothing.
+func (b *tokenBucket) take(now time.Duration, n int) bool {
+	b.left = min(b.left+(now-b.at).Seconds()*b.rate, b.burst)
+	b.at = now
+	if b.left < float64(n) {
+		return false
+	}
+	b.left -= float64(n)
+	return true
+}
+
+// send sends a message, unless its budget is used up. A heartbeat or a pong (nil) always goes: there are few.
+func (v *View) send(to netip.AddrPort, d *planepb.Datagram, b *tokenBucket) bool {
+	d.Version, d.Fleet, d.From = plane.Version, v.opt.Fleet, v.self.id
+	d.Roster, d.States = v.sums.roster, v.sums.states
+	if d.Seq == 0 {
+		d.Seq = v.next()
+	}
+	if b != nil && !b.take(v.now, plane.Size(d)) {
+		return false
+	}
+	v.out = append(v.out, Send{to, d})
+	return true
+}
+
+func (v *View) next() uint64 {
+	v.seq++
+	return v.seq
+}
