--- a/internal/membership/count.go
+++ b/internal/membership/count.go
@@ -14,36 +14,14 @@
 // shared: only a side that sees more than half of all may divide it by those that it sees, and only once those that it
 // lost must know that they are the minority. A broker that has been in a minority for that long is fenced: it uses no
 // part at all. A fleet that truly lost most of its brokers is fenced as well, until they are back or forgotten.
-func (v *View) Count() Count { return v.count() }
-
-func (v *View) count() (c Count) {
-	names := map[string]Status{}
-	latest := map[string]time.Duration{}
-	for _, m := range v.roster {
-		s := m.state.status()
-		if m == v.self {
-			s = Alive
-		}
-		if s == Left {
-			continue
-		}
-		if old, ok := names[m.Name]; !ok || s < old {
-			names[m.Name] = s
-		}
-		latest[m.Name] = max(latest[m.Name], m.since)
+func (v *View) Count() Count {
+	if v.brokersChanged {
+		v.brokers, v.brokersChanged = v.countBrokers(), false
 	}
-	recent := 0
-	for name, s := range names {
-		if s == Alive {
-			c.Alive++
-		} else if v.now-latest[name] < 2*fencedTime {
-			recent++
-		}
-	}
-	c.Known = len(names)
+	c := Count{Alive: v.brokers.alive, Known: v.brokers.alive + len(v.brokers.lostAt)}
 	if 2*c.Alive > c.Known && !v.isolated() {
 		v.minoritySince = -1
-		c.Sharing = c.Alive + recent
+		c.Sharing = c.Alive + v.brokers.lostWithin(2*fencedTime, v.now)
 		return c
 	}
 	if v.minoritySince < 0 {
@@ -52,3 +30,40 @@
 	c.Sharing, c.Fenced = c.Known, v.now-v.minoritySince >= fencedTime
 	return c
 }
+
+// brokers are the instances of a roster by their brokers' names. They are counted anew only where the roster or a state
+// has changed, since drivers ask at each look at the clock.
+type brokers struct {
+	alive  int
+	lostAt []time.Duration // of each that is lost: since when its latest instance is
+}
+
+func (v *View) countBrokers() (b brokers) {
+	alive := map[string]bool{}
+	lostAt := map[string]time.Duration{}
+	for _, m := range v.roster {
+		switch {
+		case m == v.self || v.alive(m):
+			alive[m.Name] = true
+		case m.state.status() == Lost:
+			lostAt[m.Name] = max(lostAt[m.Name], m.since)
+		}
+	}
+	b.alive = len(alive)
+	for name, at := range lostAt {
+		if !alive[name] {
+			b.lostAt = append(b.lostAt, at)
+		}
+	}
+	return b
+}
+
+// lostWithin counts the brokers that were lost less than so long ago.
+func (b *brokers) lostWithin(d, now time.Duration) (n int) {
+	for _, at := range b.lostAt {
+		if now-at < d {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/membership/count_test.go
@@ -0,0 +1,100 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// viewOf is a view that knows so many brokers.
+func viewOf(n int) *View {
+	v := New(Options{Self: Instance{Name: "self", Start: 1, Addr: netip.MustParseAddrPort("127.0.0.1:1")}, Seed: 1})
+	for i := range n - 1 {
+		v.add(Instance{Name: fmt.Sprint("n", i), Start: 1, Addr: v.self.Addr}, 0)
+	}
+	return v
+}
+
+// recount counts alive, known and lately lost brokers from the roster, name by name.
+func recount(v *View) (alive, known, lately int) {
+	best, latest := map[string]Status{}, map[string]time.Duration{}
+	for _, m := range v.roster {
+		s := m.state.status()
+		if m == v.self {
+			s = Alive
+		}
+		if s == Left {
+			continue
+		}
+		if old, ok := best[m.Name]; !ok || s < old {
+			best[m.Name] = s
+		}
+		latest[m.Name] = max(latest[m.Name], m.since)
+	}
+	for name, s := range best {
+		if s == Alive {
+			alive++
+		} else if v.now-latest[name] < 2*fencedTime {
+			lately++
+		}
+	}
+	return alive, len(best), lately
+}
+
+// Whatever happens to the roster, the count that is kept is that of the roster as it is.
+func TestTheKeptCountIsThatOfTheRoster(t *testing.T) {
+	for seed := range uint64(5) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		v := viewOf(20)
+		for step := range 2000 {
+			v.now += time.Duration(rng.Int64N(int64(time.Second)))
+			m := v.roster[rng.IntN(len(v.roster))]
+			switch rng.IntN(6) {
+			case 0:
+				if len(v.roster) < 60 {
+					v.add(Instance{Name: m.Name, Start: uint64(step) + 2, Addr: m.Addr}, state(rng.IntN(3)))
+				}
+			case 1:
+				if m != v.self && len(v.roster) > 10 {
+					v.drop(m)
+				}
+			case 2:
+				v.set(m, m.state.in(Lost))
+			case 3:
+				v.set(m, m.state.revived())
+			case 4:
+				v.forget()
+			}
+			alive, known, lately := recount(v)
+			c := v.Count()
+			require.Equal(t, [2]int{alive, known}, [2]int{c.Alive, c.Known}, "seed %d, step %d", seed, step)
+			require.Contains(t, []int{alive + lately, known}, c.Sharing)
+			require.Equal(t, lately, v.brokers.lostWithin(2*fencedTime, v.now))
+		}
+	}
+}
+
+func BenchmarkCount(b *testing.B) {
+	v := viewOf(Most)
+	for b.Loop() {
+		v.Count()
+	}
+}
+
+func BenchmarkAssignObservers(b *testing.B) {
+	v := viewOf(Most)
+	for b.Loop() {
+		v.assignObservers()
+	}
+}
+
+func BenchmarkTick(b *testing.B) {
+	v := viewOf(Most)
+	for b.Loop() {
+		v.Tick(v.now + TickEvery)
+	}
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -32,6 +32,9 @@
 	living       int  // instances that live
 	ringsChanged bool // who observes whom has to be found anew
 
+	brokers        brokers // of the roster
+	brokersChanged bool    // they have to be counted anew
+
 	observers []*member // of self
 	observed  []*member // whom self observes
 
--- a/internal/membership/roster.go
+++ b/internal/membership/roster.go
@@ -59,8 +59,10 @@
 	}
 }
 
-// sum takes a member into the sums, or out of them: the same step does both.
+// sum takes a member into the sums, or out of them: the same step does both. Whatever changes the roster or a state
+// comes by here.
 func (v *View) sum(m *member, living int) {
+	v.brokersChanged = true
 	n := uint32(plane.Mix(m.id))
 	v.sums.roster ^= n
 	v.sums.states ^= uint32(plane.Mix(m.id, uint64(m.state)))
--- a/internal/membership/tick.go
+++ b/internal/membership/tick.go
@@ -76,7 +76,7 @@
 	}
 	v.probeAt = v.now + probeEvery
 	v.forget()
-	v.count()
+	v.Count() // so that a minority is noticed whether or not anybody asks
 	var lost, unheard []*member
 	for _, m := range v.roster {
 		switch {
