--- /dev/null
+++ b/internal/config/control.go
@@ -0,0 +1,171 @@
+package config
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"mothrouter/internal/plane"
+)
+
+// ControlMachine is the file of a control machine.
+type ControlMachine struct {
+	Fleet        string         // its fingerprint marks what members send each other
+	Name         string         // this machine's, among the members
+	Listen       netip.AddrPort // for brokers, operators and the other members
+	Folder       string         // of its log
+	PromoteAfter time.Duration  // silence of a voter after which the spare takes its place
+	Members      []ControlMember
+}
+
+// ControlMember is one of the control machines of a fleet.
+type ControlMember struct {
+	Name    string
+	ID      uint64         // in the replicated log, from 1
+	Address netip.AddrPort // where the others reach it
+	Region  string
+	Voter   bool // false: the spare
+}
+
+// Self returns the member that this machine is.
+func (c *ControlMachine) Self() ControlMember {
+	for _, m := range c.Members {
+		if m.Name == c.Name {
+			return m
+		}
+	}
+	panic("config: a control machine that is no member") // LoadControl refuses such a file
+}
+
+const (
+	leastPromoteAfter   = 5.0 // seconds: ten elections
+	mostPromoteAfter    = 86400.0
+	defaultPromoteAfter = 60.0
+	mostVoters          = 7 // of any replicated log that is of use
+)
+
+// controlFile is the file as written.
+type controlFile struct {
+	Fleet        string              `toml:"fleet"`
+	Name         string              `toml:"name"`
+	Listen       string              `toml:"listen"`
+	Folder       string              `toml:"folder"`
+	PromoteAfter float64             `toml:"promote_after_s"`
+	Members      []controlFileMember `toml:"members"`
+}
+
+type controlFileMember struct {
+	Name    string `toml:"name"`
+	ID      uint64 `toml:"id"`
+	Address string `toml:"address"`
+	Region  string `toml:"region"`
+	Role    string `toml:"role"`
+}
+
+// LoadControl reads the file of a control machine. Its errors name the faulty key.
+func LoadControl(path string) (*ControlMachine, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, bad("control", "%v", err)
+	}
+	f := controlFile{PromoteAfter: defaultPromoteAfter}
+	md, err := toml.Decode(string(text), &f)
+	if err != nil {
+		return nil, bad("control", "%s: %v", path, err)
+	}
+	if odd := md.Undecoded(); len(odd) > 0 {
+		return nil, bad("control."+odd[0].String(), "is not known")
+	}
+	if f.Fleet == "" {
+		return nil, bad("control.fleet", "is missing")
+	}
+	if f.Folder == "" {
+		return nil, bad("control.folder", "is missing")
+	}
+	if !(f.PromoteAfter >= leastPromoteAfter && f.PromoteAfter <= mostPromoteAfter) {
+		return nil, bad("control.promote_after_s", "%g is outside %g to %g", f.PromoteAfter, leastPromoteAfter,
+			mostPromoteAfter)
+	}
+	out := &ControlMachine{Fleet: f.Fleet, Name: f.Name, Folder: f.Folder,
+		PromoteAfter: time.Duration(f.PromoteAfter * float64(time.Second))}
+	if out.Listen, err = netip.ParseAddrPort(f.Listen); err != nil {
+		return nil, bad("control.listen", "%v", err)
+	}
+	if out.Members, err = controlMembers(f.Members); err != nil {
+		return nil, err
+	}
+	for _, m := range out.Members {
+		if m.Name == out.Name {
+			return out, nil
+		}
+	}
+	return nil, bad("control.name", "%q is not among control.members", out.Name)
+}
+
+// controlMembers checks each member alone, then all together.
+func controlMembers(rows []controlFileMember) ([]ControlMember, error) {
+	if len(rows) == 0 {
+		return nil, bad("control.members", "is missing")
+	}
+	var members []ControlMember
+	voters, spares := 0, 0
+	for i, row := range rows {
+		key := fmt.Sprintf("control.members[%d]", i)
+		m, err := controlMember(key, row)
+		if err != nil {
+			return nil, err
+		}
+		for _, other := range members {
+			switch {
+			case other.Name == m.Name:
+				return nil, bad(key+".name", "%q is there twice", m.Name)
+			case other.ID == m.ID:
+				return nil, bad(key+".id", "%d is there twice", m.ID)
+			case other.Address == m.Address:
+				return nil, bad(key+".address", "%v is there twice", m.Address)
+			}
+		}
+		members = append(members, m)
+		if m.Voter {
+			voters++
+		} else {
+			spares++
+		}
+	}
+	switch {
+	case spares > 1:
+		return nil, bad("control.members", "%d spares: there can be one at most", spares)
+	case voters%2 == 0:
+		return nil, bad("control.members", "%d voters: their number must be odd", voters)
+	case voters > mostVoters:
+		return nil, bad("control.members", "%d voters: there can be %d at most", voters, mostVoters)
+	}
+	return members, nil
+}
+
+func controlMember(key string, row controlFileMember) (ControlMember, error) {
+	m := ControlMember{Name: row.Name, ID: row.ID, Region: row.Region, Voter: row.Role == "voter"}
+	if row.Name == "" || len(row.Name) > plane.NameMost {
+		return m, bad(key+".name", "%q is empty or longer than %d bytes", row.Name, plane.NameMost)
+	}
+	if row.ID == 0 {
+		return m, bad(key+".id", "is missing or 0")
+	}
+	if row.Region == "" {
+		return m, bad(key+".region", "is missing")
+	}
+	if row.Role != "voter" && row.Role != "spare" {
+		return m, bad(key+".role", "%q is neither voter nor spare", row.Role)
+	}
+	var err error
+	if m.Address, err = netip.ParseAddrPort(row.Address); err != nil {
+		return m, bad(key+".address", "%v", err)
+	}
+	if m.Address.Addr().IsUnspecified() || m.Address.Port() == 0 {
+		return m, bad(key+".address", "others cannot reach %v", m.Address)
+	}
+	return m, nil
+}
