--- /dev/null
+++ b/internal/revision/revision.go
@@ -0,0 +1,106 @@
+// Package revision is the replicated state machine of the configuration: it turns publications, in the order of the
+// replicated log, into numbered, checksummed, immutable revisions. It does no I/O, starts no goroutine and reads no
+// clock: the same entries give the same state on every control machine.
+//
+// A Machine is not safe for concurrent use. The revisions that it hands out are immutable and may be shared.
+package revision
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"mothrouter/internal/configpb"
+)
+
+//go:generate protoc -I revisionpb -I ../configpb --go_out=revisionpb --go_opt=paths=source_relative revision.proto
+
+// Limits of the machine.
+const (
+	// MaxDocumentBytes is the size of the largest document.
+	MaxDocumentBytes = 64 << 10
+
+	// MaxCommandBytes is the size of the largest encoded Command: its document and four fields of at most 10 bytes
+	// each with their tags, rounded up to 1 KiB.
+	MaxCommandBytes = MaxDocumentBytes + 1<<10
+
+	// MaxHistory is how many of the latest revisions are kept: a day and a half of 2,700 changes a day.
+	MaxHistory = 4096
+
+	// MaxHistoryBytes bounds the documents of the history: 4,096 x 4 KiB = 16 MiB. All 4,096 revisions are kept
+	// where documents have 4 KiB on average; of the largest, 16 MiB / 64 KiB = 256, which are 2 h and 16 min of
+	// 2,700 changes a day. The newest revision is always kept.
+	MaxHistoryBytes = MaxHistory * (4 << 10)
+
+	// MaxRequests is how many of the latest applied requests are remembered, 24 bytes each: 96 KiB. A publication
+	// sent again is recognised until 4,096 others were applied, a day and a half at 2,700 a day.
+	MaxRequests = 4096
+)
+
+// Rejection tells why a command became no revision. It is the same on every control machine.
+type Rejection int
+
+// The reasons for a rejection.
+const (
+	Accepted       Rejection = iota // it is a revision
+	NotNewest                       // the expected number isn't that of the newest revision
+	Oversized                       // the document has more than MaxDocumentBytes
+	NoDocument                      // the document is empty
+	NoRequest                       // the command has no request id
+	RequestReused                   // the request id was applied with another document
+	Undecodable                     // the entry is no Command
+	rejectionCount = iota
+)
+
+var rejectionNames = [rejectionCount]string{
+	"accepted", "expected number is not the newest", "document too large", "no document", "no request id",
+	"request id applied with another document", "not a command",
+}
+
+// String names the rejection for logs and errors.
+func (r Rejection) String() string {
+	if r < 0 || int(r) >= len(rejectionNames) {
+		return fmt.Sprintf("rejection %d", int(r))
+	}
+	return rejectionNames[r]
+}
+
+// Result is what became of one command.
+type Result struct {
+	Rejection Rejection
+	Number    uint64 // of its revision where Accepted, else of the newest revision
+	Repeated  bool   // Accepted before, by an earlier command of the same request id
+}
+
+// Checksum returns the checksum of a document.
+func Checksum(document []byte) uint64 { return xxhash.Sum64(document) }
+
+// ErrCommand tells that an entry is no Command, or a larger one than the log takes.
+var ErrCommand = errors.New("revision: not a command")
+
+// Encode returns a command as an entry of the log. It returns an error that wraps ErrCommand where the encoding
+// would have more than MaxCommandBytes.
+func Encode(command *configpb.Command) ([]byte, error) {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(command)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrCommand, err)
+	}
+	if len(data) > MaxCommandBytes {
+		return nil, fmt.Errorf("%w: %d bytes, of at most %d", ErrCommand, len(data), MaxCommandBytes)
+	}
+	return data, nil
+}
+
+// Decode reads an entry of the log. It returns an error that wraps ErrCommand where it is no Command.
+func Decode(data []byte) (*configpb.Command, error) {
+	if len(data) > MaxCommandBytes {
+		return nil, fmt.Errorf("%w: %d bytes, of at most %d", ErrCommand, len(data), MaxCommandBytes)
+	}
+	command := &configpb.Command{}
+	if err := proto.Unmarshal(data, command); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrCommand, err)
+	}
+	return command, nil
+}
--- /dev/null
+++ b/internal/revision/snapshot.go
@@ -0,0 +1,165 @@
+package revision
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"mothrouter/internal/configpb"
+	"mothrouter/internal/revision/revisionpb"
+)
+
+// A snapshot is a header of 28 bytes and a revisionpb.State:
+//
+//	8 bytes  magic
+//	4 bytes  version, big endian like all that follow
+//	8 bytes  length of the state
+//	8 bytes  xxhash of the state
+const (
+	snapshotMagic   = "mothrev\n"
+	snapshotVersion = 1
+	headerBytes     = len(snapshotMagic) + 4 + 8 + 8
+
+	// MaxSnapshotBytes is the size of the largest snapshot: 16 MiB of documents, 4,096 revisions of 48 bytes beside
+	// their documents and 4,096 requests of 36 bytes, which are 336 KiB, rounded up to 17 MiB.
+	MaxSnapshotBytes = MaxHistoryBytes + 1<<20
+)
+
+// Errors of Restore.
+var (
+	ErrForeign = errors.New("revision: not a snapshot of revisions")
+	ErrVersion = errors.New("revision: snapshot of another version")
+	ErrTorn    = errors.New("revision: snapshot torn")
+	ErrCorrupt = errors.New("revision: snapshot corrupt")
+)
+
+// Snapshot returns the whole state, MaxSnapshotBytes at most. Machines that applied the same entries return the same
+// bytes.
+func (m *Machine) Snapshot() []byte {
+	state := &revisionpb.State{Applied: m.applied, Newest: m.newest, History: m.history}
+	for _, request := range m.requests {
+		state.Requests = append(state.Requests, &revisionpb.Request{
+			Request: request.request, Number: request.number, Checksum: request.checksum,
+		})
+	}
+	body, err := proto.MarshalOptions{Deterministic: true}.Marshal(state)
+	if err != nil {
+		panic(fmt.Sprintf("revision: a state that cannot be encoded: %v", err))
+	}
+	data := make([]byte, 0, headerBytes+len(body))
+	data = append(data, snapshotMagic...)
+	data = binary.BigEndian.AppendUint32(data, snapshotVersion)
+	data = binary.BigEndian.AppendUint64(data, uint64(len(body)))
+	data = binary.BigEndian.AppendUint64(data, xxhash.Sum64(body))
+	data = append(data, body...)
+	if len(data) > MaxSnapshotBytes {
+		panic(fmt.Sprintf("revision: snapshot of %d bytes", len(data)))
+	}
+	return data
+}
+
+// Restore returns the machine of a snapshot. Its error wraps ErrForeign, ErrVersion, ErrTorn or ErrCorrupt.
+func Restore(data []byte) (*Machine, error) {
+	body, err := snapshotBody(data)
+	if err != nil {
+		return nil, err
+	}
+	state := &revisionpb.State{}
+	if err := proto.Unmarshal(body, state); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrCorrupt, err)
+	}
+	machine := NewMachine()
+	if err := machine.restoreHistory(state); err != nil {
+		return nil, err
+	}
+	if err := machine.restoreRequests(state); err != nil {
+		return nil, err
+	}
+	machine.applied = state.GetApplied()
+	return machine, nil
+}
+
+func snapshotBody(data []byte) ([]byte, error) {
+	if !bytes.HasPrefix(data, []byte(snapshotMagic)) {
+		if len(data) < len(snapshotMagic) && bytes.HasPrefix([]byte(snapshotMagic), data) {
+			return nil, fmt.Errorf("%w: %d bytes", ErrTorn, len(data))
+		}
+		return nil, ErrForeign
+	}
+	if len(data) < headerBytes {
+		return nil, fmt.Errorf("%w: %d bytes", ErrTorn, len(data))
+	}
+	if len(data) > MaxSnapshotBytes {
+		return nil, fmt.Errorf("%w: %d bytes, of at most %d", ErrCorrupt, len(data), MaxSnapshotBytes)
+	}
+	header, body := data[len(snapshotMagic):headerBytes], data[headerBytes:]
+	version := binary.BigEndian.Uint32(header)
+	length := binary.BigEndian.Uint64(header[4:])
+	checksum := binary.BigEndian.Uint64(header[12:])
+	switch {
+	case version != snapshotVersion:
+		return nil, fmt.Errorf("%w: %d, not %d", ErrVersion, version, snapshotVersion)
+	case uint64(len(body)) < length:
+		return nil, fmt.Errorf("%w: %d bytes of %d", ErrTorn, len(body), length)
+	case uint64(len(body)) > length:
+		return nil, fmt.Errorf("%w: %d bytes follow its end", ErrCorrupt, uint64(len(body))-length)
+	case xxhash.Sum64(body) != checksum:
+		return nil, fmt.Errorf("%w: checksum", ErrCorrupt)
+	}
+	return body, nil
+}
+
+func (m *Machine) restoreHistory(state *revisionpb.State) error {
+	history := state.GetHistory()
+	if uint64(len(history)) > state.GetNewest() {
+		return fmt.Errorf("%w: %d revisions up to number %d", ErrCorrupt, len(history), state.GetNewest())
+	}
+	if state.GetNewest() > 0 && len(history) == 0 {
+		return fmt.Errorf("%w: the newest revision is missing", ErrCorrupt)
+	}
+	m.newest = state.GetNewest() - uint64(len(history))
+	for _, revision := range history {
+		if err := m.checkNext(revision); err != nil {
+			return err
+		}
+		m.append(revision)
+	}
+	if len(m.history) != len(history) {
+		return fmt.Errorf("%w: more history than is kept", ErrCorrupt)
+	}
+	return nil
+}
+
+func (m *Machine) checkNext(revision *configpb.Revision) error {
+	number, document := revision.GetNumber(), revision.GetDocument()
+	if number != m.newest+1 {
+		return fmt.Errorf("%w: revision %d follows %d", ErrCorrupt, number, m.newest)
+	}
+	if len(document) == 0 || len(document) > MaxDocumentBytes || Checksum(document) != revision.GetChecksum() {
+		return fmt.Errorf("%w: document of revision %d", ErrCorrupt, number)
+	}
+	return nil
+}
+
+func (m *Machine) restoreRequests(state *revisionpb.State) error {
+	var last uint64
+	for _, request := range state.GetRequests() {
+		_, twice := m.byID[request.GetRequest()]
+		inOrder := request.GetNumber() > last && request.GetNumber() <= m.newest
+		if twice || !inOrder || request.GetRequest() == 0 {
+			return fmt.Errorf("%w: request of revision %d", ErrCorrupt, request.GetNumber())
+		}
+		last = request.GetNumber()
+		m.remember(appliedRequest{
+			request: request.GetRequest(), number: request.GetNumber(), checksum: request.GetChecksum(),
+		})
+	}
+	if len(m.requests) != len(state.GetRequests()) {
+		return fmt.Errorf("%w: more requests than are remembered", ErrCorrupt)
+	}
+	return nil
+}
