--- /dev/null
+++ b/internal/controlserver/transport.go
@@ -0,0 +1,203 @@
+package controlserver
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/protobuf/proto"
+
+	"mothrouter/internal/configpb"
+	"mothrouter/internal/plane"
+)
+
+const (
+	// sayAlive is how often a peer is sent something at least.
+	sayAlive = time.Second
+	// aliveFor is how long a peer counts as reachable after it was heard: three of sayAlive.
+	aliveFor = 3 * sayAlive
+
+	// Waits between attempts to reach a peer, by gRPC for connections and by the transport for streams. Peers are
+	// three, so short waits cost little.
+	reconnectFirst = 100 * time.Millisecond
+	reconnectMost  = 2 * time.Second
+	connectTimeout = 3 * time.Second
+
+	// A connection that answers no ping is given up after both: 10 s is the least that gRPC allows.
+	pingAfter   = 10 * time.Second
+	pingTimeout = 3 * time.Second
+)
+
+// peer is another control machine.
+type peer struct {
+	id     uint64
+	outbox *outbox
+	conn   *grpc.ClientConn
+}
+
+// peerEvent is what became of messages to a peer, for the consensus node.
+type peerEvent struct {
+	id       uint64
+	snapshot bool // what was sent was a snapshot
+	failed   bool
+}
+
+// transport sends messages of the replicated log to the other control machines: one stream for each.
+type transport struct {
+	fleet  uint64 // fingerprint
+	self   uint64
+	log    *slog.Logger
+	peers  map[uint64]*peer
+	events chan<- peerEvent // taken by the goroutine that owns the consensus node
+
+	cancel context.CancelFunc
+	ended  sync.WaitGroup
+}
+
+// peerAddress is where another control machine is reached.
+type peerAddress struct {
+	id      uint64
+	address string // host:port
+}
+
+// newTransport starts sending to the peers. It has to be closed.
+func newTransport(fleet string, self uint64, peers []peerAddress, events chan<- peerEvent, log *slog.Logger) (
+	*transport, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	t := &transport{
+		fleet: plane.Fleet(fleet), self: self, log: log, peers: map[uint64]*peer{}, events: events, cancel: cancel,
+	}
+	for _, p := range peers {
+		conn, err := dial(p.address)
+		if err != nil {
+			t.close()
+			return nil, fmt.Errorf("control machine %d at %s: %w", p.id, p.address, err)
+		}
+		t.peers[p.id] = &peer{id: p.id, outbox: newOutbox(), conn: conn}
+	}
+	for _, p := range t.peers {
+		t.ended.Add(1)
+		go func() {
+			defer t.ended.Done()
+			t.run(ctx, p)
+		}()
+	}
+	return t, nil
+}
+
+func dial(address string) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff: backoff.Config{
+				BaseDelay: reconnectFirst, Multiplier: 1.6, Jitter: 0.5, MaxDelay: reconnectMost,
+			},
+			MinConnectTimeout: connectTimeout,
+		}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfter, Timeout: pingTimeout}),
+		grpc.WithIdleTimeout(0),
+	)
+}
+
+// close ends all streams and returns once they have ended.
+func (t *transport) close() {
+	t.cancel()
+	for _, p := range t.peers {
+		p.conn.Close()
+	}
+	t.ended.Wait()
+}
+
+// send queues a message for its receiver, without waiting. It tells whether a snapshot to that peer was dropped: the
+// consensus node has to know. A message to a machine that is no peer is dropped.
+func (t *transport) send(message *raftpb.Message) (snapshotDropped bool) {
+	p := t.peers[message.GetTo()]
+	if p == nil {
+		return false
+	}
+	data, err := proto.Marshal(message)
+	if err != nil {
+		panic(fmt.Sprintf("controlserver: a message that cannot be encoded: %v", err))
+	}
+	return p.outbox.put(outgoing{data: data, snapshot: message.GetType() == raftpb.MessageType_MsgSnap})
+}
+
+// run keeps a stream to a peer open until the context ends.
+func (t *transport) run(ctx context.Context, p *peer) {
+	wait := reconnectFirst
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := t.stream(ctx, p)
+		if ctx.Err() != nil {
+			return
+		}
+		t.tell(ctx, peerEvent{id: p.id, failed: true})
+		t.log.Warn("stream to a control machine ended", "peer", p.id, "err", err)
+		if time.Since(began) > aliveFor {
+			wait = reconnectFirst
+		}
+		select {
+		case <-time.After(wait/2 + rand.N(wait/2)):
+		case <-ctx.Done():
+		}
+		wait = min(2*wait, reconnectMost)
+	}
+}
+
+// stream opens one stream and sends what the outbox holds until that fails.
+func (t *transport) stream(ctx context.Context, p *peer) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := configpb.NewConsensusClient(p.conn).Send(ctx, grpc.WaitForReady(true))
+	if err != nil {
+		return err
+	}
+	go func() { // a stream that the peer ends says so here, also while there is nothing to send
+		stream.RecvMsg(&configpb.Received{})
+		cancel()
+	}()
+	alive := time.NewTicker(sayAlive)
+	defer alive.Stop()
+	for {
+		message, ok := p.outbox.take()
+		if !ok {
+			select {
+			case <-p.outbox.ready:
+				continue
+			case <-alive.C: // an envelope without a message
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+		err := stream.Send(&configpb.Envelope{Fleet: t.fleet, From: t.self, Message: message.data})
+		if message.snapshot {
+			t.tell(ctx, peerEvent{id: p.id, snapshot: true, failed: err != nil})
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (t *transport) tell(ctx context.Context, event peerEvent) {
+	select {
+	case t.events <- event:
+	case <-ctx.Done():
+	}
+}
+
+// dropped returns how many messages were dropped because their peer did not take them in time.
+func (t *transport) dropped() (count uint64) {
+	for _, p := range t.peers {
+		count += p.outbox.droppedCount()
+	}
+	return count
+}
