--- /dev/null
+++ b/internal/configclient/configclient_test.go
@@ -0,0 +1,186 @@
+package configclient_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"google.golang.org/grpc"
+
+	"mothrouter/internal/configclient"
+	"mothrouter/internal/confighub"
+	"mothrouter/internal/configpb"
+	"mothrouter/internal/distribution"
+)
+
+// server is a control machine on loopback that serves Follow only.
+type server struct {
+	configpb.UnimplementedControlServer
+	hub     *confighub.Hub
+	grpc    *grpc.Server
+	address string
+}
+
+func (s *server) Follow(stream grpc.BidiStreamingServer[configpb.Report, configpb.Update]) error {
+	return s.hub.Follow(stream)
+}
+
+// startServer serves at an address until the test ends or stop is called.
+func startServer(t testing.TB, address string) *server {
+	listener, err := net.Listen("tcp", address)
+	require.NoError(t, err)
+	s := &server{
+		hub:     confighub.New(slog.New(slog.DiscardHandler)),
+		grpc:    grpc.NewServer(confighub.ServerOptions()...),
+		address: listener.Addr().String(),
+	}
+	configpb.RegisterControlServer(s.grpc, s)
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = s.grpc.Serve(listener)
+	}()
+	t.Cleanup(func() {
+		s.grpc.Stop()
+		<-served
+	})
+	return s
+}
+
+func revisionOf(number uint64, document string) *configpb.Revision {
+	return &configpb.Revision{
+		Number:          number,
+		Checksum:        distribution.Checksum([]byte(document)),
+		Document:        []byte(document),
+		PublishedUnixMs: time.Now().UnixMilli(),
+	}
+}
+
+// broker is a hollow broker: a client that notes what it applies.
+type broker struct {
+	*configclient.Client
+	mu      sync.Mutex
+	applied []uint64
+	refuse  map[uint64]*configpb.Refusal
+}
+
+func (b *broker) apply(revision *configpb.Revision) *configpb.Refusal {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if refusal := b.refuse[revision.GetNumber()]; refusal != nil {
+		return refusal
+	}
+	b.applied = append(b.applied, revision.GetNumber())
+	return nil
+}
+
+func (b *broker) numbers() []uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]uint64(nil), b.applied...)
+}
+
+// startBroker runs a broker until the test ends.
+func startBroker(t testing.TB, name string, refuse map[uint64]*configpb.Refusal, addresses ...string) *broker {
+	b := &broker{refuse: refuse}
+	var machines []distribution.Machine
+	for _, address := range addresses {
+		machines = append(machines, distribution.Machine{Address: address})
+	}
+	client, err := configclient.New(configclient.Options{
+		Name:    name,
+		Started: time.Now(),
+		Zone:    "a",
+		Control: machines,
+		Callers: 1,
+		Log:     slog.New(slog.DiscardHandler),
+		Apply:   b.apply,
+	})
+	require.NoError(t, err)
+	b.Client = client
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		client.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return b
+}
+
+func TestABrokerFollowsAndReports(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	t.Run("", func(t *testing.T) {
+		s := startServer(t, "127.0.0.1:0")
+		require.NoError(t, s.hub.SetNewest(revisionOf(1, "one"), time.Now()))
+		refusal := &configpb.Refusal{Key: "settings.port", Reason: "needs a restart"}
+		b := startBroker(t, "b1", map[uint64]*configpb.Refusal{2: refusal}, s.address)
+		require.Eventually(t, func() bool { return b.Status().InForce == 1 }, 5*time.Second, 5*time.Millisecond)
+		require.NoError(t, s.hub.SetNewest(revisionOf(2, "two"), time.Now()))
+		require.Eventually(t, func() bool { return b.Status().Refusal.GetNumber() == 2 }, 5*time.Second, 5*time.Millisecond)
+		require.Eventually(t, func() bool {
+			report := s.hub.Status().Brokers[0].GetReport()
+			return report.GetInForce() == 1 && report.GetRefusal().GetKey() == "settings.port"
+		}, 5*time.Second, 5*time.Millisecond)
+		require.NoError(t, s.hub.SetNewest(revisionOf(3, "three"), time.Now()))
+		require.Eventually(t, func() bool { return s.hub.Status().InForce[0].GetEverywhereUnixMs() != 0 },
+			5*time.Second, 5*time.Millisecond)
+		require.Equal(t, []uint64{1, 3}, b.numbers())
+		require.Nil(t, b.Status().Refusal)
+		behind, known := b.Status().Behind, b.Status().Known
+		require.True(t, known)
+		require.Less(t, behind, 5*time.Second)
+	})
+}
+
+func TestABrokerMovesToAnotherControlMachine(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	t.Run("", func(t *testing.T) {
+		var servers []*server
+		var addresses []string
+		for range 2 {
+			s := startServer(t, "127.0.0.1:0")
+			require.NoError(t, s.hub.SetNewest(revisionOf(1, "one"), time.Now()))
+			servers, addresses = append(servers, s), append(addresses, s.address)
+		}
+		b := startBroker(t, "b1", nil, addresses...)
+		require.Eventually(t, func() bool { return b.Status().InForce == 1 }, 5*time.Second, 5*time.Millisecond)
+		for _, s := range servers {
+			if s.address == b.Status().Control {
+				s.grpc.Stop()
+				continue
+			}
+			require.NoError(t, s.hub.SetNewest(revisionOf(2, "two"), time.Now()))
+		}
+		require.Eventually(t, func() bool { return b.Status().InForce == 2 }, 8*time.Second, 5*time.Millisecond)
+		require.Equal(t, []uint64{1, 2}, b.numbers())
+	})
+}
+
+func TestABrokerWithoutControlServesByItsFile(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	t.Run("", func(t *testing.T) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		address := listener.Addr().String()
+		require.NoError(t, listener.Close())
+		b := startBroker(t, "b1", nil, address)
+		require.Eventually(t, func() bool { return b.Status().Counts.Ended > 1 }, 8*time.Second, 5*time.Millisecond)
+		require.False(t, b.Status().Known)
+		require.Zero(t, b.Status().InForce)
+
+		s := startServer(t, address)
+		require.NoError(t, s.hub.SetNewest(revisionOf(7, "seven"), time.Now()))
+		require.Eventually(t, func() bool { return b.Status().InForce == 7 }, 8*time.Second, 5*time.Millisecond,
+			fmt.Sprint(b.Status()))
+	})
+}
--- /dev/null
+++ b/internal/configclient/reporter.go
@@ -0,0 +1,89 @@
+package configclient
+
+import (
+	"log/slog"
+	"time"
+
+	"mothrouter/internal/distribution"
+)
+
+const (
+	startGrace = 5 * time.Second  // after which a broker without control says that it serves by its file
+	staleAfter = 15 * time.Second // after which a broker says that it may be behind
+	againAfter = 5 * time.Minute  // after which it says so again
+	dropsEvery = 10 * time.Second // at most, what was dropped is logged
+)
+
+// reporter logs what has changed from one status of the follower to the next.
+type reporter struct {
+	log     *slog.Logger
+	started time.Time
+	before  distribution.FollowerStatus
+	logged  distribution.UpdateCounts // of the last line on what was dropped
+	dropped time.Time                 // of that line
+	stale   time.Time                 // of the last line that says that it may be behind; zero: it is confirmed
+}
+
+func newReporter(log *slog.Logger, now time.Time) *reporter { return &reporter{log: log, started: now} }
+
+// tell logs the difference to the status before.
+func (r *reporter) tell(now time.Time, status distribution.FollowerStatus) {
+	before := r.before
+	r.before = status
+	switch connected, was := !status.Heard.IsZero(), !before.Heard.IsZero(); {
+	case connected && (!was || status.Control != before.Control):
+		r.log.Info("following a control machine", "control", status.Control, "newest", status.Newest)
+	case was && !connected:
+		r.log.Info("lost a control machine", "control", before.Control, "in_force", status.InForce)
+	}
+	if status.InForce != before.InForce {
+		r.log.Info("a revision is in force", "number", status.InForce, "before", before.InForce)
+	}
+	if refusal := status.Refusal; refusal != nil && refusal.GetNumber() != before.Refusal.GetNumber() {
+		r.log.Error("a revision is refused", "number", refusal.GetNumber(), "key", refusal.GetKey(),
+			"reason", refusal.GetReason(), "in_force", status.InForce)
+	}
+	r.tellDropped(now, status)
+	r.tellStale(now, status)
+}
+
+// tellDropped logs what was dropped, at most every dropsEvery.
+func (r *reporter) tellDropped(now time.Time, status distribution.FollowerStatus) {
+	if now.Sub(r.dropped) < dropsEvery {
+		return
+	}
+	is, was := status.Counts, r.logged
+	if is.Conflicts > was.Conflicts {
+		r.log.Error("a control machine has another content for the revision in hand",
+			"control", status.Control, "updates", is.Conflicts-was.Conflicts)
+	}
+	bad := func(c distribution.UpdateCounts) uint64 { return c.Malformed + c.Oversized + c.Torn }
+	if bad(is) > bad(was) {
+		r.log.Warn("updates were dropped", "malformed", is.Malformed-was.Malformed,
+			"oversized", is.Oversized-was.Oversized, "torn", is.Torn-was.Torn, "control", status.Control)
+	}
+	if is.Conflicts > was.Conflicts || bad(is) > bad(was) {
+		r.logged, r.dropped = is, now
+	}
+}
+
+// tellStale logs that the broker may be behind, again every againAfter, and that it is confirmed again.
+func (r *reporter) tellStale(now time.Time, status distribution.FollowerStatus) {
+	stale := status.Behind > staleAfter
+	if !status.Known {
+		stale = now.Sub(r.started) > startGrace
+	}
+	switch {
+	case !stale && !r.stale.IsZero():
+		r.stale = time.Time{}
+		r.log.Info("the configuration is confirmed again", "in_force", status.InForce, "newest", status.Newest)
+	case !stale || now.Sub(r.stale) < againAfter:
+	case !status.Known:
+		r.stale = now
+		r.log.Warn("no control machine has confirmed a configuration: serving by the file of the start")
+	default:
+		r.stale = now
+		r.log.Warn("the configuration may be behind", "behind", status.Behind.Round(time.Second),
+			"in_force", status.InForce, "control", status.Control)
+	}
+}
--- /dev/null
+++ b/internal/configclient/stream.go
@@ -0,0 +1,117 @@
+package configclient
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"mothrouter/internal/configpb"
+	"mothrouter/internal/distribution"
+)
+
+const (
+	window   = 64 << 10 // bytes unread on the stream; so set, gRPC does not widen it
+	ioBuffer = 4 << 10  // bytes of the connection's buffers, each way
+)
+
+// stream is one Follow call on a connection of its own. The follower gives it up when it is silent for too long, so no
+// keepalive is needed.
+type stream struct {
+	distribution.Open
+	ctx     context.Context
+	cancel  context.CancelFunc
+	reports chan *configpb.Report // of capacity 1: the latest
+}
+
+func newStream(ctx context.Context, open distribution.Open) *stream {
+	s := &stream{Open: open, reports: make(chan *configpb.Report, 1)}
+	s.ctx, s.cancel = context.WithCancel(ctx)
+	return s
+}
+
+// close ends a stream. It may be nil, or closed already.
+func (s *stream) close() {
+	if s != nil {
+		s.cancel()
+	}
+}
+
+// report has a report sent, in place of one that still waits. One goroutine calls it.
+func (s *stream) report(report *configpb.Report) {
+	select {
+	case <-s.reports:
+	default:
+	}
+	s.reports <- report
+}
+
+// follow runs a stream until it ends, and tells the follower so unless ctx has ended.
+func (c *Client) follow(ctx context.Context, s *stream) {
+	defer s.cancel()
+	err := c.receive(s)
+	if s.ctx.Err() == nil {
+		c.opt.Log.Debug("the stream of the configuration has ended", "control", s.Address, "error", err)
+	}
+	c.tell(ctx, func(now time.Time, f *distribution.Follower) { f.Ended(now, s.Stream) })
+}
+
+// receive connects, has reports sent and takes updates.
+func (c *Client) receive(s *stream) error {
+	conn, err := dial(s.Address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	call, err := configpb.NewControlClient(conn).Follow(s.ctx)
+	if err != nil {
+		return err
+	}
+	sent := make(chan struct{})
+	defer func() {
+		s.cancel()
+		<-sent
+	}()
+	go func() {
+		defer close(sent)
+		send(s, call)
+	}()
+	for {
+		update, err := call.Recv()
+		if err != nil {
+			return err
+		}
+		c.tell(s.ctx, func(now time.Time, f *distribution.Follower) { f.Receive(now, s.Stream, update) })
+	}
+}
+
+// send sends reports until the stream ends.
+func send(s *stream, call grpc.BidiStreamingClient[configpb.Report, configpb.Update]) {
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case report := <-s.reports:
+			if call.Send(report) != nil {
+				return // Recv returns why
+			}
+		}
+	}
+}
+
+func dial(address string) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		// When to connect again is the follower's to decide.
+		grpc.WithDisableRetry(), grpc.WithDisableServiceConfig(),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: time.Minute, Multiplier: 1, MaxDelay: time.Minute},
+			MinConnectTimeout: distribution.ConnectLimit,
+		}),
+		grpc.WithInitialWindowSize(window), grpc.WithInitialConnWindowSize(window),
+		grpc.WithReadBufferSize(ioBuffer), grpc.WithWriteBufferSize(ioBuffer),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(distribution.MaxMessage)),
+	)
+}
--- /dev/null
+++ b/internal/confighub/confighub.go
@@ -0,0 +1,220 @@
+// Package confighub drives distribution.Hub over gRPC: it serves the Follow streams of brokers on a control machine.
+package confighub
+
+import (
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	"mothrouter/internal/configpb"
+	"mothrouter/internal/distribution"
+)
+
+const (
+	keepaliveTime    = 10 * time.Second // without a byte from the peer, then it is asked
+	keepaliveTimeout = 5 * time.Second  // to answer
+	checkEvery       = 5 * time.Second  // a session whose sending is blocked is checked
+	window           = 64 << 10         // bytes unread on a stream and on a connection; so set, gRPC does not widen it
+	ioBuffer         = 4 << 10          // bytes of a connection's buffers, each way
+)
+
+// ServerOptions are the options of a gRPC server that serves Follow. Messages up to distribution.MaxMessage are taken.
+func ServerOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
+		grpc.InitialWindowSize(window),
+		grpc.InitialConnWindowSize(window),
+		grpc.MaxRecvMsgSize(distribution.MaxMessage),
+		grpc.ReadBufferSize(ioBuffer),
+		grpc.WriteBufferSize(ioBuffer),
+		grpc.ConnectionTimeout(keepaliveTimeout),
+	}
+}
+
+// Hub serves brokers. Make it with New. Its methods may be called by several goroutines at once.
+type Hub struct {
+	log *slog.Logger
+
+	mu      sync.Mutex
+	hub     *distribution.Hub
+	streams map[distribution.SessionID]chan struct{} // of capacity 1: wakes the sender
+}
+
+// New returns a hub without revisions.
+func New(log *slog.Logger) *Hub {
+	return &Hub{
+		log:     log,
+		hub:     distribution.NewHub(),
+		streams: map[distribution.SessionID]chan struct{}{},
+	}
+}
+
+// SetNewest tells the newest revision of the log that this machine has applied, and when a quorum last confirmed that
+// it is the newest. The revision must not be changed afterwards. A nil revision tells the time alone. Errors: those of
+// distribution.Hub.Newest; then the time is not taken either.
+func (h *Hub) SetNewest(revision *configpb.Revision, confirmed time.Time) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if revision != nil {
+		if err := h.hub.Newest(time.Now(), revision); err != nil {
+			return err
+		}
+		for _, wake := range h.streams {
+			signal(wake)
+		}
+	}
+	h.hub.Confirmed(confirmed)
+	return nil
+}
+
+// Status returns what the hub knows of the brokers and of the latest revisions.
+func (h *Hub) Status() distribution.Status {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.hub.Status(time.Now())
+}
+
+// Counts returns the reports so far.
+func (h *Hub) Counts() distribution.ReportCounts {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.hub.Counts()
+}
+
+// Lagging returns the names of the connected brokers that lack a revision for too long.
+func (h *Hub) Lagging() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.hub.Lagging(time.Now())
+}
+
+// Follow serves one broker until its stream ends. Errors: RESOURCE_EXHAUSTED with too many sessions; UNAVAILABLE where
+// the session is silent or another one has taken its place.
+func (h *Hub) Follow(stream grpc.BidiStreamingServer[configpb.Report, configpb.Update]) error {
+	id, wake, err := h.open()
+	if err != nil {
+		return statusOf(err)
+	}
+	defer h.close(id)
+	ended := make(chan error, 2) // one of each goroutine; both end with the stream, when this call returns
+	go func() { ended <- h.receive(stream, id, wake) }()
+	go func() { ended <- h.send(stream, id, wake) }()
+	check := time.NewTicker(checkEvery)
+	defer check.Stop()
+	for {
+		select {
+		case err := <-ended:
+			return statusOf(err)
+		case <-check.C:
+			if err := h.check(id); err != nil {
+				return statusOf(err)
+			}
+		}
+	}
+}
+
+// receive takes reports until the stream ends.
+func (h *Hub) receive(
+	stream grpc.BidiStreamingServer[configpb.Report, configpb.Update], id distribution.SessionID, wake chan struct{},
+) error {
+	for {
+		report, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if err := h.report(id, report); err != nil {
+			return err
+		}
+		signal(wake)
+	}
+}
+
+// send sends updates until the stream ends.
+func (h *Hub) send(
+	stream grpc.BidiStreamingServer[configpb.Report, configpb.Update], id distribution.SessionID, wake chan struct{},
+) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-stream.Context().Done():
+			return stream.Context().Err()
+		case <-wake:
+		case <-timer.C:
+		}
+		update, at, err := h.next(id)
+		if err != nil {
+			return err
+		}
+		if update != nil {
+			if err := stream.Send(update); err != nil {
+				return err
+			}
+		}
+		timer.Reset(time.Until(at))
+	}
+}
+
+func (h *Hub) open() (distribution.SessionID, chan struct{}, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	id, err := h.hub.Open(time.Now())
+	if err != nil {
+		h.log.Warn("a broker was turned away", "error", err, "sessions", h.hub.Sessions())
+		return 0, nil, err
+	}
+	wake := make(chan struct{}, 1)
+	h.streams[id] = wake
+	return id, wake, nil
+}
+
+func (h *Hub) close(id distribution.SessionID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.hub.Close(time.Now(), id)
+	delete(h.streams, id)
+}
+
+func (h *Hub) check(id distribution.SessionID) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.hub.Check(time.Now(), id)
+}
+
+func (h *Hub) report(id distribution.SessionID, report *configpb.Report) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.hub.Report(time.Now(), id, report)
+}
+
+func (h *Hub) next(id distribution.SessionID) (*configpb.Update, time.Time, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.hub.Next(time.Now(), id)
+}
+
+func signal(wake chan struct{}) {
+	select {
+	case wake <- struct{}{}:
+	default: // it is awake already
+	}
+}
+
+// statusOf returns what a broker is told.
+func statusOf(err error) error {
+	switch {
+	case errors.Is(err, distribution.ErrFull):
+		return status.Error(codes.ResourceExhausted, err.Error())
+	case errors.Is(err, distribution.ErrSilent),
+		errors.Is(err, distribution.ErrSuperseded),
+		errors.Is(err, distribution.ErrNoSession):
+		return status.Error(codes.Unavailable, err.Error())
+	}
+	return err
+}
--- /dev/null
+++ b/internal/distribution/distribution.go
@@ -0,0 +1,80 @@
+// Package distribution decides how revisions of the configuration get from control machines to brokers. Hub is the
+// control machine's side: what each of its sessions is sent, and what the brokers reported. Follower is the broker's
+// side: which control machine it follows, when a stream is silent, which revision is taken, and how far behind the
+// broker may be.
+//
+// Neither does I/O, starts a goroutine or keeps a clock: a driver hands in the time and what happened. Times given to
+// one Hub or Follower must not go back. Neither is safe for use by several goroutines at once.
+package distribution
+
+import (
+	"errors"
+	"fmt"
+	"time"
+	"unicode/utf8"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mothrouter/internal/configpb"
+)
+
+const (
+	// Heartbeat is how often a session is told something at least.
+	Heartbeat = time.Second
+	// ReportEvery is how often a broker reports at least, whether or not anything changed.
+	ReportEvery = 10 * time.Second
+	// MaxDocument is the largest document of a revision, in bytes.
+	MaxDocument = 64 << 10
+	// MaxMessage bounds one message on the wire: a document, and 4 KiB for every other field of it.
+	MaxMessage = MaxDocument + 4<<10
+	// NeverConfirmed is Update.confirmed_ms of a control machine that has not heard of a quorum yet.
+	NeverConfirmed = 1<<32 - 1
+
+	maxName   = 128  // bytes of a broker's or a zone's name
+	maxKey    = 256  // bytes of the key of a refusal
+	maxReason = 1024 // bytes of the reason of a refusal
+)
+
+// Errors of CheckRevision.
+var (
+	ErrNoNumber = errors.New("the revision has no number")
+	ErrEmpty    = errors.New("the document is empty")
+	ErrTooLarge = fmt.Errorf("the document is larger than %d bytes", MaxDocument)
+	ErrTorn     = errors.New("the document is not what its checksum names")
+)
+
+// Checksum returns the checksum of a document.
+func Checksum(document []byte) uint64 { return xxhash.Sum64(document) }
+
+// CheckRevision returns why a revision is not whole: one of ErrNoNumber, ErrEmpty, ErrTooLarge and ErrTorn.
+func CheckRevision(revision *configpb.Revision) error {
+	switch document := revision.GetDocument(); {
+	case revision.GetNumber() == 0:
+		return ErrNoNumber
+	case len(document) == 0:
+		return ErrEmpty
+	case len(document) > MaxDocument:
+		return ErrTooLarge
+	case Checksum(document) != revision.GetChecksum():
+		return ErrTorn
+	}
+	return nil
+}
+
+func validText(text string, most int) bool { return len(text) <= most && utf8.ValidString(text) }
+
+// validReport tells whether a report is well-formed by itself.
+func validReport(report *configpb.Report) bool {
+	if report.GetName() == "" || !validText(report.GetName(), maxName) || !validText(report.GetZone(), maxName) {
+		return false
+	}
+	if report.GetStartedUnixMs() <= 0 {
+		return false
+	}
+	refusal := report.GetRefusal()
+	if refusal == nil {
+		return true
+	}
+	return refusal.GetNumber() > report.GetInForce() &&
+		validText(refusal.GetKey(), maxKey) && validText(refusal.GetReason(), maxReason)
+}
--- /dev/null
+++ b/internal/distribution/follower_status.go
@@ -0,0 +1,60 @@
+package distribution
+
+import (
+	"time"
+
+	"mothrouter/internal/configpb"
+)
+
+// FollowerStatus is what a follower knows.
+type FollowerStatus struct {
+	Control      string    // address of the control machine that is followed; "": none at present
+	Heard        time.Time // last update of its stream; zero: none yet
+	InForce      uint64    // 0: the file of the start
+	InForceSince time.Time
+	Applying     uint64            // 0: none
+	Newest       uint64            // the highest number that any control machine told
+	Refusal      *configpb.Refusal // of a revision above InForce; nil: none
+	Behind       time.Duration     // as Stale returns it
+	Known        bool
+	Counts       UpdateCounts
+}
+
+// Status returns what the follower knows.
+func (f *Follower) Status(now time.Time) FollowerStatus {
+	status := FollowerStatus{
+		InForce:      f.revisions.inForce,
+		InForceSince: f.revisions.since,
+		Applying:     f.revisions.applying,
+		Newest:       f.newest,
+		Refusal:      f.revisions.refusal,
+		Counts:       f.counts,
+	}
+	if f.stream != 0 {
+		status.Control, status.Heard = f.machines[f.machine].Address, f.heard
+	}
+	status.Behind, status.Known = f.Stale(now)
+	return status
+}
+
+// Stale returns how old the news may be that the follower has not heard: how long ago a quorum confirmed, to the
+// control machine that told so, that the newest revision the follower knows of was the newest. known is false if none
+// ever did: the broker serves by its file, and cannot tell.
+func (f *Follower) Stale(now time.Time) (behind time.Duration, known bool) {
+	if f.confirmed.IsZero() {
+		return 0, false
+	}
+	return max(now.Sub(f.confirmed), 0), true
+}
+
+// currentReport is the broker's word on the revision it serves by.
+func (f *Follower) currentReport() *configpb.Report {
+	return &configpb.Report{
+		Name:               f.opt.Name,
+		StartedUnixMs:      f.opt.Started.UnixMilli(),
+		Zone:               f.opt.Zone,
+		InForce:            f.revisions.inForce,
+		InForceSinceUnixMs: f.revisions.since.UnixMilli(),
+		Refusal:            f.revisions.refusal,
+	}
+}
--- /dev/null
+++ b/internal/distribution/hub_report.go
@@ -0,0 +1,99 @@
+package distribution
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"mothrouter/internal/configpb"
+)
+
+// Report takes a report of a session. One that is malformed, of another instance or older than the one before is
+// counted and dropped without an error. Errors: ErrNoSession; ErrSuperseded where a later start of the same broker is
+// connected; ErrFull where too many brokers are remembered.
+func (h *Hub) Report(now time.Time, id SessionID, report *configpb.Report) error {
+	s, ok := h.sessions[id]
+	if !ok {
+		return ErrNoSession
+	}
+	if s.superseded {
+		return ErrSuperseded
+	}
+	if !validReport(report) {
+		h.counts.Malformed++
+		return nil
+	}
+	if s.broker == nil {
+		return h.firstReport(now, id, s, report)
+	}
+	before := s.broker.report
+	if !sameInstance(before, report) {
+		h.counts.Foreign++
+		return nil
+	}
+	if goesBack(before, report) {
+		h.counts.Older++
+		return nil
+	}
+	h.dropInForce(before.GetInForce())
+	h.take(now, s, report)
+	return nil
+}
+
+// firstReport joins a session and its broker. A former session of the same broker is superseded.
+func (h *Hub) firstReport(now time.Time, id SessionID, s *session, report *configpb.Report) error {
+	b := h.brokers[report.GetName()]
+	if b != nil && b.session != 0 && report.GetStartedUnixMs() < b.report.GetStartedUnixMs() {
+		h.counts.Foreign++
+		return ErrSuperseded
+	}
+	if b == nil {
+		if len(h.brokers) >= MaxBrokers && !h.forgetOldest() {
+			return ErrFull
+		}
+		b = &broker{}
+		h.brokers[report.GetName()] = b
+	}
+	if b.session != 0 {
+		h.sessions[b.session].superseded = true
+		h.dropInForce(b.report.GetInForce())
+	}
+	b.session, b.opened = id, s.opened
+	s.broker = b
+	h.take(now, s, report)
+	return nil
+}
+
+// take makes a report the last one of its session's broker.
+func (h *Hub) take(now time.Time, s *session, report *configpb.Report) {
+	h.counts.Taken++
+	s.heard = now
+	s.broker.heard = now
+	s.broker.report = proto.CloneOf(report)
+	h.inForce[report.GetInForce()]++
+	h.checkEverywhere(now)
+}
+
+// dropInForce takes a connected broker out of those that have a revision in force.
+func (h *Hub) dropInForce(number uint64) {
+	if h.inForce[number] <= 0 {
+		panic("distribution: fewer brokers have a revision in force than none")
+	}
+	if h.inForce[number]--; h.inForce[number] == 0 {
+		delete(h.inForce, number)
+	}
+}
+
+func sameInstance(a, b *configpb.Report) bool {
+	return a.GetName() == b.GetName() && a.GetStartedUnixMs() == b.GetStartedUnixMs() && a.GetZone() == b.GetZone()
+}
+
+// goesBack tells whether a report contradicts the order of those of one instance: what is in force only rises, and so
+// does the highest revision that was tried.
+func goesBack(before, report *configpb.Report) bool {
+	if report.GetInForce() < before.GetInForce() {
+		return true
+	}
+	tried := func(r *configpb.Report) uint64 { return max(r.GetInForce(), r.GetRefusal().GetNumber()) }
+	return tried(report) < tried(before)
+}
