--- /dev/null
+++ b/internal/configstatus/configstatus.go
@@ -0,0 +1,185 @@
+// Package configstatus merges what several control machines tell of the log and of their brokers into one view for
+// operators, and writes it as a table. It does no I/O and takes the time as an argument.
+package configstatus
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"mothrouter/internal/configpb"
+	"mothrouter/internal/distribution"
+)
+
+// Answer is what one control machine said, or why it said nothing.
+type Answer struct {
+	Address string
+	Status  *configpb.StatusResponse // nil: it did not answer
+	Err     error                    // why not
+}
+
+// View is the merged status.
+type View struct {
+	Leader      string     `json:"leader"` // "": no machine that answered knows one
+	Newest      uint64     `json:"newest"`
+	ConfirmedMs int64      `json:"confirmed_ms"` // since a quorum last confirmed newest; -1: never
+	Machines    []Machine  `json:"machines"`
+	Connected   int        `json:"connected"` // brokers
+	Behind      []Broker   `json:"behind"`    // connected, and newest is not in force there
+	CutOff      []Broker   `json:"cut_off"`   // that follow none of the machines that answered
+	Refusals    []Refusal  `json:"refusals"`
+	Revisions   []Revision `json:"revisions"` // newest first
+}
+
+// Machine is one control machine: a member of the log, or an address that was asked and did not answer.
+type Machine struct {
+	Name        string `json:"name"` // "": of an address that no member has
+	Address     string `json:"address"`
+	Role        string `json:"role"` // voter or spare
+	Answered    bool   `json:"answered"`
+	Error       string `json:"error,omitempty"`
+	ReachableBy int    `json:"reachable_by"` // of the others that answered
+	Newest      uint64 `json:"newest"`       // of its answer
+	ConfirmedMs int64  `json:"confirmed_ms"` // of its answer; -1: never
+	Brokers     int    `json:"brokers"`      // that follow it
+}
+
+// Broker is the last report of one broker.
+type Broker struct {
+	Name     string `json:"name"`
+	Zone     string `json:"zone"`
+	InForce  uint64 `json:"in_force"` // 0: the file of its start
+	SilentMs uint32 `json:"silent_ms"`
+	Control  string `json:"control"` // name of the machine that heard it last
+}
+
+// Refusal is a revision that brokers refused, by the key at fault.
+type Refusal struct {
+	Number  uint64   `json:"number"`
+	Key     string   `json:"key"`
+	Reason  string   `json:"reason"`
+	Brokers []string `json:"brokers"`
+}
+
+// Revision tells when a revision was in force at all brokers that could be reached.
+type Revision struct {
+	Number       uint64    `json:"number"`
+	Published    time.Time `json:"published"`
+	Everywhere   time.Time `json:"everywhere,omitzero"` // zero: not yet
+	EverywhereMs int64     `json:"everywhere_ms"`       // after publication; -1: not yet
+	Brokers      uint32    `json:"brokers"`             // connected ones that have it
+	Lagging      uint32    `json:"lagging"`             // connected ones that have lacked it for too long
+}
+
+// Merge merges the answers. Of a broker that several machines know, the latest word counts.
+func Merge(answers []Answer) View {
+	view := View{ConfirmedMs: -1}
+	statuses := answered(answers)
+	if best := freshest(statuses); best != nil {
+		view.Leader = best.GetLeader()
+		view.ConfirmedMs = confirmed(best)
+	}
+	for _, s := range statuses {
+		view.Newest = max(view.Newest, s.GetNewest())
+	}
+	view.Machines = machines(answers)
+	view.Revisions = revisions(statuses)
+	for _, b := range brokers(statuses) {
+		view.add(b)
+	}
+	return view
+}
+
+func answered(answers []Answer) (statuses []*configpb.StatusResponse) {
+	for _, a := range answers {
+		if a.Status != nil {
+			statuses = append(statuses, a.Status)
+		}
+	}
+	return statuses
+}
+
+// freshest is the status that a quorum confirmed last: it knows best who leads.
+func freshest(statuses []*configpb.StatusResponse) (best *configpb.StatusResponse) {
+	for _, s := range statuses {
+		if best == nil || s.GetConfirmedMs() < best.GetConfirmedMs() {
+			best = s
+		}
+	}
+	return best
+}
+
+func confirmed(s *configpb.StatusResponse) int64 {
+	if s.GetConfirmedMs() == distribution.NeverConfirmed {
+		return -1
+	}
+	return int64(s.GetConfirmedMs())
+}
+
+// known is a broker as the machine with the latest word on it knows it.
+type known struct {
+	*configpb.Broker
+	control string
+}
+
+// brokers returns every broker once, in the order of their names.
+func brokers(statuses []*configpb.StatusResponse) []known {
+	byName := map[string]known{}
+	for _, s := range statuses {
+		for _, b := range s.GetBrokers() {
+			name := b.GetReport().GetName()
+			if before, ok := byName[name]; !ok || later(b, before.Broker) {
+				byName[name] = known{b, s.GetName()}
+			}
+		}
+	}
+	list := make([]known, 0, len(byName))
+	for _, b := range byName {
+		list = append(list, b)
+	}
+	slices.SortFunc(list, func(a, b known) int {
+		return cmp.Compare(a.GetReport().GetName(), b.GetReport().GetName())
+	})
+	return list
+}
+
+// later tells whether a is the later word on a broker than b: of a later start of it, else of a stream that is open,
+// else of the one that was heard last.
+func later(a, b *configpb.Broker) bool {
+	if a, b := a.GetReport().GetStartedUnixMs(), b.GetReport().GetStartedUnixMs(); a != b {
+		return a > b
+	}
+	if a.GetConnected() != b.GetConnected() {
+		return a.GetConnected()
+	}
+	return a.GetSilentMs() < b.GetSilentMs()
+}
+
+// add books one broker.
+func (v *View) add(b known) {
+	report := b.GetReport()
+	row := Broker{Name: report.GetName(), Zone: report.GetZone(), InForce: report.GetInForce(), SilentMs: b.GetSilentMs(),
+		Control: b.control}
+	switch {
+	case !b.GetConnected():
+		v.CutOff = append(v.CutOff, row)
+	case report.GetInForce() < v.Newest:
+		v.Connected++
+		v.Behind = append(v.Behind, row)
+	default:
+		v.Connected++
+	}
+	refusal := report.GetRefusal()
+	if refusal == nil || refusal.GetNumber() <= report.GetInForce() {
+		return
+	}
+	for i := range v.Refusals {
+		r := &v.Refusals[i]
+		if r.Number == refusal.GetNumber() && r.Key == refusal.GetKey() && r.Reason == refusal.GetReason() {
+			r.Brokers = append(r.Brokers, row.Name)
+			return
+		}
+	}
+	v.Refusals = append(v.Refusals, Refusal{Number: refusal.GetNumber(), Key: refusal.GetKey(),
+		Reason: refusal.GetReason(), Brokers: []string{row.Name}})
+}
--- /dev/null
+++ b/internal/configstatus/machines.go
@@ -0,0 +1,80 @@
+package configstatus
+
+import (
+	"cmp"
+	"slices"
+
+	"mothrouter/internal/configpb"
+)
+
+// machines returns the members that any answer names, by name, and then the addresses that did not answer and that no
+// member has. Of what the answers say of one member, the word of the freshest one counts.
+func machines(answers []Answer) []Machine {
+	statuses := answered(answers)
+	slices.SortStableFunc(statuses, func(a, b *configpb.StatusResponse) int {
+		return cmp.Compare(a.GetConfirmedMs(), b.GetConfirmedMs())
+	})
+	var list []Machine
+	find := func(match func(Machine) bool) *Machine {
+		if i := slices.IndexFunc(list, match); i >= 0 {
+			return &list[i]
+		}
+		return nil
+	}
+	for _, s := range statuses {
+		for _, m := range s.GetMembers() {
+			row := find(func(x Machine) bool { return x.Name == m.GetName() })
+			if row == nil {
+				list = append(list, Machine{Name: m.GetName(), Address: m.GetAddress(), Role: role(m), ConfirmedMs: -1})
+				row = &list[len(list)-1]
+			}
+			if m.GetReachable() && m.GetName() != s.GetName() {
+				row.ReachableBy++
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b Machine) int { return cmp.Compare(a.Name, b.Name) })
+	for _, a := range answers {
+		row := find(func(x Machine) bool {
+			if a.Status != nil {
+				return x.Name == a.Status.GetName()
+			}
+			return x.Address == a.Address
+		})
+		if row == nil {
+			list = append(list, Machine{Name: a.Status.GetName(), Address: a.Address, ConfirmedMs: -1})
+			row = &list[len(list)-1]
+		}
+		row.take(a)
+	}
+	return list
+}
+
+func role(m *configpb.Member) string {
+	if m.GetVoter() {
+		return "voter"
+	}
+	return "spare"
+}
+
+// take books a machine's own answer.
+func (m *Machine) take(a Answer) {
+	if a.Status == nil {
+		if !m.Answered && a.Err != nil {
+			m.Error = a.Err.Error()
+		}
+		return
+	}
+	m.Answered, m.Error = true, ""
+	m.Newest, m.ConfirmedMs = a.Status.GetNewest(), confirmed(a.Status)
+	m.Brokers = connected(a.Status)
+}
+
+func connected(s *configpb.StatusResponse) (count int) {
+	for _, b := range s.GetBrokers() {
+		if b.GetConnected() {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/configstatus/revisions.go
@@ -0,0 +1,66 @@
+package configstatus
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"mothrouter/internal/configpb"
+)
+
+// revisions merges when each revision was in force everywhere: once all machines that have brokers say so, at the
+// latest time that any of them says.
+func revisions(statuses []*configpb.StatusResponse) []Revision {
+	byNumber := map[uint64]*Revision{}
+	for _, s := range statuses {
+		for _, x := range s.GetInForce() {
+			r := byNumber[x.GetNumber()]
+			if r == nil {
+				r = &Revision{Number: x.GetNumber(), Published: time.UnixMilli(x.GetPublishedUnixMs())}
+				byNumber[x.GetNumber()] = r
+			}
+			r.Brokers += x.GetBrokers()
+			r.Lagging += x.GetLagging()
+		}
+	}
+	list := make([]Revision, 0, len(byNumber))
+	for _, r := range byNumber {
+		r.EverywhereMs = -1
+		if at, ok := everywhere(statuses, r.Number); ok {
+			r.Everywhere = at
+			r.EverywhereMs = max(at.Sub(r.Published).Milliseconds(), 0) // clocks differ
+		}
+		list = append(list, *r)
+	}
+	slices.SortFunc(list, func(a, b Revision) int { return cmp.Compare(b.Number, a.Number) })
+	return list
+}
+
+// everywhere returns when the last machine saw a revision in force at all its brokers. A machine without brokers has
+// no say; one that has brokers and lacks the revision says no.
+func everywhere(statuses []*configpb.StatusResponse, number uint64) (at time.Time, ok bool) {
+	for _, s := range statuses {
+		i := slices.IndexFunc(s.GetInForce(), func(x *configpb.InForce) bool { return x.GetNumber() == number })
+		var unixMs int64
+		if i >= 0 {
+			unixMs = s.GetInForce()[i].GetEverywhereUnixMs()
+		}
+		if unixMs == 0 {
+			if connected(s) > 0 && !forgotten(s, number) {
+				return time.Time{}, false
+			}
+			continue
+		}
+		if t := time.UnixMilli(unixMs); t.After(at) {
+			at = t
+		}
+		ok = true
+	}
+	return at, ok
+}
+
+// forgotten tells whether a machine no longer books a revision: it has later ones only.
+func forgotten(s *configpb.StatusResponse, number uint64) bool {
+	booked := s.GetInForce()
+	return len(booked) > 0 && number < booked[len(booked)-1].GetNumber()
+}
--- /dev/null
+++ b/internal/configstatus/table.go
@@ -0,0 +1,101 @@
+package configstatus
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// namesMost is how many names a line of the table lists; the JSON form has all.
+const namesMost = 10
+
+// Write writes the view as text, with at most so many revisions. Ages are as of now.
+func (v View) Write(out io.Writer, now time.Time, revisionsMost int) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	leader := v.Leader
+	if leader == "" {
+		leader = "none known"
+	}
+	fmt.Fprintf(w, "newest revision %d, leader %s, confirmed by a quorum %s\n\n", v.Newest, leader, ago(v.ConfirmedMs))
+	v.writeMachines(w)
+	v.writeRevisions(w, now, revisionsMost)
+	v.writeBrokers(w)
+	return w.Flush()
+}
+
+func (v View) writeMachines(w io.Writer) {
+	fmt.Fprintln(w, "MACHINE\tADDRESS\tROLE\tNEWEST\tCONFIRMED\tBROKERS\tREACHED BY\tSTATE")
+	for _, m := range v.Machines {
+		name, role, state := or(m.Name, "?"), or(m.Role, "?"), "answers"
+		if !m.Answered {
+			state = "no answer: " + or(m.Error, "not asked")
+			fmt.Fprintf(w, "%s\t%s\t%s\t-\t-\t-\t%d\t%s\n", name, m.Address, role, m.ReachableBy, state)
+			continue
+		}
+		if m.Newest < v.Newest {
+			state = fmt.Sprintf("%d behind", v.Newest-m.Newest)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%d\t%d\t%s\n", name, m.Address, role, m.Newest, ago(m.ConfirmedMs), m.Brokers,
+			m.ReachableBy, state)
+	}
+}
+
+func (v View) writeRevisions(w io.Writer, now time.Time, most int) {
+	if len(v.Revisions) == 0 {
+		return
+	}
+	fmt.Fprintln(w, "\nREVISION\tPUBLISHED\tIN FORCE EVERYWHERE\tHAVE IT\tLAGGING")
+	for _, r := range v.Revisions[:min(most, len(v.Revisions))] {
+		everywhere := "not yet"
+		if r.EverywhereMs >= 0 {
+			everywhere = fmt.Sprintf("after %.1f s", float64(r.EverywhereMs)/1e3)
+		}
+		age := now.Sub(r.Published).Round(time.Second)
+		fmt.Fprintf(w, "%d\t%v ago\t%s\t%d\t%d\n", r.Number, age, everywhere, r.Brokers, r.Lagging)
+	}
+}
+
+func (v View) writeBrokers(w io.Writer) {
+	fmt.Fprintf(w, "\nbrokers: %d connected, %d behind, %d cut off\n", v.Connected, len(v.Behind), len(v.CutOff))
+	if len(v.Behind) > 0 {
+		fmt.Fprintln(w, "behind:", names(v.Behind))
+	}
+	if len(v.CutOff) > 0 {
+		fmt.Fprintln(w, "cut off:", names(v.CutOff))
+	}
+	for _, r := range v.Refusals {
+		fmt.Fprintf(w, "revision %d refused by %d brokers, %s: %s (%s)\n", r.Number, len(r.Brokers), r.Key, r.Reason,
+			shortened(r.Brokers))
+	}
+}
+
+func names(brokers []Broker) string {
+	list := make([]string, len(brokers))
+	for i, b := range brokers {
+		list[i] = fmt.Sprintf("%s (%d in force)", b.Name, b.InForce)
+	}
+	return shortened(list)
+}
+
+func shortened(list []string) string {
+	if len(list) <= namesMost {
+		return strings.Join(list, ", ")
+	}
+	return fmt.Sprintf("%s and %d more", strings.Join(list[:namesMost], ", "), len(list)-namesMost)
+}
+
+func ago(milliseconds int64) string {
+	if milliseconds < 0 {
+		return "never"
+	}
+	return fmt.Sprintf("%.1f s ago", float64(milliseconds)/1e3)
+}
+
+func or(text, otherwise string) string {
+	if text == "" {
+		return otherwise
+	}
+	return text
+}
