--- a/internal/config/control.go
+++ b/internal/config/control.go
@@ -15,7 +15,8 @@
 type ControlMachine struct {
 	Fleet        string         // its fingerprint marks what members send each other
 	Name         string         // this machine's, among the members
-	Listen       netip.AddrPort // for brokers, operators and the other members
+	Listen       netip.AddrPort // for brokers and operators
+	ListenPeers  netip.AddrPort // for the other members
 	Folder       string         // of its log
 	PromoteAfter time.Duration  // silence of a voter after which the spare takes its place
 	Members      []ControlMember
@@ -23,11 +24,12 @@
 
 // ControlMember is one of the control machines of a fleet.
 type ControlMember struct {
-	Name    string
-	ID      uint64         // in the replicated log, from 1
-	Address netip.AddrPort // where the others reach it
-	Region  string
-	Voter   bool // false: the spare
+	Name        string
+	ID          uint64         // in the replicated log, from 1
+	Address     netip.AddrPort // where brokers and operators reach it
+	PeerAddress netip.AddrPort // where the other members reach it
+	Region      string
+	Voter       bool // false: the spare
 }
 
 // Self returns the member that this machine is.
@@ -52,17 +54,19 @@
 	Fleet        string              `toml:"fleet"`
 	Name         string              `toml:"name"`
 	Listen       string              `toml:"listen"`
+	ListenPeers  string              `toml:"listen_peers"`
 	Folder       string              `toml:"folder"`
 	PromoteAfter float64             `toml:"promote_after_s"`
 	Members      []controlFileMember `toml:"members"`
 }
 
 type controlFileMember struct {
-	Name    string `toml:"name"`
-	ID      uint64 `toml:"id"`
-	Address string `toml:"address"`
-	Region  string `toml:"region"`
-	Role    string `toml:"role"`
+	Name        string `toml:"name"`
+	ID          uint64 `toml:"id"`
+	Address     string `toml:"address"`
+	PeerAddress string `toml:"peer_address"`
+	Region      string `toml:"region"`
+	Role        string `toml:"role"`
 }
 
 // LoadControl reads the file of a control machine. Its errors name the faulty key.
@@ -94,6 +98,12 @@
 	if out.Listen, err = netip.ParseAddrPort(f.Listen); err != nil {
 		return nil, bad("control.listen", "%v", err)
 	}
+	if out.ListenPeers, err = netip.ParseAddrPort(f.ListenPeers); err != nil {
+		return nil, bad("control.listen_peers", "%v", err)
+	}
+	if out.ListenPeers == out.Listen {
+		return nil, bad("control.listen_peers", "%v is control.listen", out.ListenPeers)
+	}
 	if out.Members, err = controlMembers(f.Members); err != nil {
 		return nil, err
 	}
@@ -126,6 +136,8 @@
 				return nil, bad(key+".id", "%d is there twice", m.ID)
 			case other.Address == m.Address:
 				return nil, bad(key+".address", "%v is there twice", m.Address)
+			case other.PeerAddress == m.PeerAddress:
+				return nil, bad(key+".peer_address", "%v is there twice", m.PeerAddress)
 			}
 		}
 		members = append(members, m)
@@ -161,11 +173,21 @@
 		return m, bad(key+".role", "%q is neither voter nor spare", row.Role)
 	}
 	var err error
-	if m.Address, err = netip.ParseAddrPort(row.Address); err != nil {
-		return m, bad(key+".address", "%v", err)
+	if m.Address, err = reachable(key+".address", row.Address); err != nil {
+		return m, err
+	}
+	m.PeerAddress, err = reachable(key+".peer_address", row.PeerAddress)
+	return m, err
+}
+
+// reachable reads an address that others connect to.
+func reachable(key, text string) (netip.AddrPort, error) {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return address, bad(key, "%v", err)
 	}
-	if m.Address.Addr().IsUnspecified() || m.Address.Port() == 0 {
-		return m, bad(key+".address", "others cannot reach %v", m.Address)
+	if address.Addr().IsUnspecified() || address.Port() == 0 {
+		return address, bad(key, "others cannot reach %v", address)
 	}
-	return m, nil
+	return address, nil
 }
--- a/internal/config/control_test.go
+++ b/internal/config/control_test.go
@@ -32,6 +32,7 @@
 	require.Equal(t, 60*time.Second, c.PromoteAfter)
 	require.Equal(t, uint64(1), c.Self().ID)
 	require.Equal(t, c.Listen, c.Self().Address)
+	require.Equal(t, c.ListenPeers, c.Self().PeerAddress)
 	require.Len(t, c.Members, 4)
 	var voters []string
 	for _, m := range c.Members {
@@ -49,6 +50,8 @@
 		{"no fleet", `"bern-roaming"`, `""`, "control.fleet"},
 		{"no folder", `"/var/lib/mothrouter-control"`, `""`, "control.folder"},
 		{"listen by name", `listen = "127.0.0.1:7950"`, `listen = "localhost:7950"`, "control.listen"},
+		{"no listening address for members", `listen_peers = "127.0.0.1:7951"`, "", "control.listen_peers"},
+		{"one address for all", `listen_peers = "127.0.0.1:7951"`, `listen_peers = "127.0.0.1:7950"`, "control.listen_peers"},
 		{"promotion at once", `60.0`, `0.1`, "control.promote_after_s"},
 		{"promotion is no number", `60.0`, `nan`, "control.promote_after_s"},
 		{"not a member", `name = "control-a"    `, `name = "control-e"    `, "control.name"},
@@ -60,6 +63,8 @@
 		{"id 0", `id = 3`, `id = 0`, "control.members[2].id"},
 		{"an address twice", `127.0.0.3:7950`, `127.0.0.2:7950`, "control.members[2].address"},
 		{"an address of nobody", `127.0.0.3:7950`, `0.0.0.0:7950`, "control.members[2].address"},
+		{"a peer address twice", `127.0.0.3:7951`, `127.0.0.2:7951`, "control.members[2].peer_address"},
+		{"a peer address without port", `127.0.0.3:7951`, `127.0.0.3:0`, "control.members[2].peer_address"},
 		{"no region", `region = "south"`, `region = ""`, "control.members[1].region"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
