--- /dev/null
+++ b/internal/raftlog/load.go
@@ -0,0 +1,98 @@
+package raftlog
+
+import (
+	"fmt"
+
+	bolt "go.etcd.io/bbolt"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+)
+
+// load reads the whole file into memory and checks it.
+func (l *Log) load(identity Identity) (err error) {
+	defer guard(&err)
+	defer faultsPanic()()
+	return l.db.View(func(tx *bolt.Tx) error {
+		if err := loadIdentity(tx, identity); err != nil {
+			return err
+		}
+		loaded, err := loadMemory(tx)
+		if err != nil {
+			return err
+		}
+		l.memory = loaded
+		return nil
+	})
+}
+
+func loadIdentity(tx *bolt.Tx, identity Identity) error {
+	if tx.Bucket(identityBucket) == nil {
+		return fmt.Errorf("%w: it has no identity", ErrForeign)
+	}
+	payload, err := get(tx, identityBucket)
+	if err != nil {
+		return err
+	}
+	return checkIdentity(payload, identity)
+}
+
+func loadMemory(tx *bolt.Tx) (memory, error) {
+	payload, err := get(tx, stateBucket)
+	if err != nil {
+		return memory{}, err
+	}
+	stored, err := decodeState(payload)
+	if err != nil {
+		return memory{}, err
+	}
+	loaded := memory{
+		hardState: &raftpb.HardState{Term: new(stored.term), Vote: new(stored.vote), Commit: new(stored.commit)},
+		compacted: stored.compacted,
+	}
+	if loaded.snapshot, err = loadSnapshot(tx); err != nil {
+		return memory{}, err
+	}
+	if loaded.entries, err = loadEntries(tx, stored); err != nil {
+		return memory{}, err
+	}
+	if loaded.last() != stored.last {
+		return memory{}, fmt.Errorf("%w: last entry is %d, not %d", ErrCorrupt, loaded.last().index, stored.last.index)
+	}
+	return loaded, loaded.check()
+}
+
+func loadSnapshot(tx *bolt.Tx) (*raftpb.Snapshot, error) {
+	payload, err := get(tx, snapshotBucket)
+	if err != nil {
+		return nil, err
+	}
+	snapshot := &raftpb.Snapshot{}
+	if err := proto.Unmarshal(payload, snapshot); err != nil {
+		return nil, fmt.Errorf("%w: snapshot: %w", ErrCorrupt, err)
+	}
+	return snapshot, nil
+}
+
+// loadEntries reads the entries. It stops at the first that isn't where the state has it.
+func loadEntries(tx *bolt.Tx, stored state) ([]*raftpb.Entry, error) {
+	bucket := tx.Bucket(entriesBucket)
+	if bucket == nil {
+		return nil, fmt.Errorf("%w: no bucket %s", ErrCorrupt, entriesBucket)
+	}
+	var entries []*raftpb.Entry
+	next := stored.compacted.index + 1
+	cursor := bucket.Cursor()
+	for key, record := cursor.First(); key != nil; key, record = cursor.Next() {
+		entry, err := decodeEntry(key, record)
+		if err != nil {
+			return nil, err
+		}
+		if entry.GetIndex() != next || next > stored.last.index {
+			return nil, fmt.Errorf("%w: entry %d in the place of %d, last is %d", ErrCorrupt, entry.GetIndex(), next,
+				stored.last.index)
+		}
+		entries = append(entries, entry)
+		next++
+	}
+	return entries, nil
+}
--- /dev/null
+++ b/internal/raftlog/raftlog.go
@@ -0,0 +1,272 @@
+// Package raftlog is the durable storage of one member of the replicated log: hard state, entries and the latest
+// snapshot in one bbolt file. Save and Compact return once what they wrote is synced to the disk.
+//
+// A Log implements raft.Storage from a copy in memory, so that a read never fails: raft panics where its storage does.
+// The copy is bounded by what its caller keeps before it compacts.
+//
+// Every record has a checksum over its place and content, and Open reads and checks the whole file, down to the pages
+// of bbolt, before it serves anything. What it cannot detect is a disk that returns an older, whole state of the file.
+//
+// After an error of Save or Compact the log is broken: a failed sync leaves unknown what the disk holds. Every further
+// call returns that error, and the file has to be opened anew.
+//
+// A Log is not safe for concurrent use.
+package raftlog
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"syscall"
+
+	bolt "go.etcd.io/bbolt"
+	berrors "go.etcd.io/bbolt/errors"
+	"go.etcd.io/raft/v3"
+	"go.etcd.io/raft/v3/raftpb"
+)
+
+// Errors of this package; those that are returned wrap one of them.
+var (
+	ErrNotExist = errors.New("raftlog: no such log")
+	ErrExists   = errors.New("raftlog: log exists already")
+	ErrLocked   = errors.New("raftlog: log is open in another process")
+	ErrForeign  = errors.New("raftlog: not the log of this member")
+	ErrVersion  = errors.New("raftlog: log of another version")
+	ErrTorn     = errors.New("raftlog: file is shorter than its content")
+	ErrCorrupt  = errors.New("raftlog: file corrupt")
+	ErrFull     = errors.New("raftlog: no room on the disk")
+	ErrInvalid  = errors.New("raftlog: write that doesn't fit the log")
+	ErrClosed   = errors.New("raftlog: log is closed")
+)
+
+// DefaultMaxBytes bounds the file: a snapshot of 17 MiB and 40 MiB of entries, each twice while bbolt writes the new
+// pages beside the old ones, are 114 MiB; doubled for pages that are free but scattered, and rounded up.
+const DefaultMaxBytes = 256 << 20
+
+const (
+	fileMode      = 0o600
+	magic         = "mothrouter raft log\n"
+	formatVersion = 1
+	identityBytes = len(magic) + 4 + 8 + 8 // magic, version, fleet, node
+)
+
+// Identity says whose log a file is.
+type Identity struct {
+	Fleet uint64 // fingerprint of the fleet
+	Node  uint64 // raft id of the member
+}
+
+// Options of a log.
+type Options struct {
+	Identity Identity
+	MaxBytes int // of the file; 0: DefaultMaxBytes
+}
+
+// Log is an open log.
+type Log struct {
+	db     *bolt.DB
+	memory memory
+	broken error // what every further write returns
+}
+
+var _ raft.Storage = (*Log)(nil)
+
+// Create makes a new log that starts with a snapshot, which all members must share, and opens it. A member that lost
+// its disk must not come back under its old id with a new log: it would have forgotten its votes and entries. Its
+// error wraps ErrExists where there is a file already, ErrInvalid where the snapshot is empty, or ErrFull.
+func Create(path string, options Options, start *raftpb.Snapshot) (*Log, error) {
+	if raft.IsEmptySnap(start) {
+		return nil, fmt.Errorf("%w: a log starts with a snapshot", ErrInvalid)
+	}
+	if _, err := os.Lstat(path); err == nil {
+		return nil, fmt.Errorf("%w: %s", ErrExists, path)
+	} else if !errors.Is(err, fs.ErrNotExist) {
+		return nil, err
+	}
+	if err := createFile(path, options, start); err != nil {
+		return nil, err
+	}
+	return Open(path, options)
+}
+
+// createFile writes the file under another name and then renames it, so that the file is whole wherever it exists.
+func createFile(path string, options Options, start *raftpb.Snapshot) error {
+	unfinished := path + ".new"
+	if err := os.Remove(unfinished); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	db, err := bolt.Open(unfinished, fileMode, &bolt.Options{MaxSize: options.maxBytes()})
+	if err != nil {
+		return diskError(err)
+	}
+	log := &Log{db: db}
+	err = log.initialize(options.Identity, start)
+	if err := errors.Join(err, db.Close()); err != nil {
+		return err
+	}
+	if err := os.Rename(unfinished, path); err != nil {
+		return err
+	}
+	return syncDirectory(filepath.Dir(path))
+}
+
+func (l *Log) initialize(identity Identity, start *raftpb.Snapshot) error {
+	return l.update(func(tx *bolt.Tx) error {
+		for _, name := range [][]byte{identityBucket, stateBucket, snapshotBucket, entriesBucket} {
+			if _, err := tx.CreateBucket(name); err != nil {
+				return err
+			}
+		}
+		if err := put(tx, identityBucket, onlyKey, encodeIdentity(identity)); err != nil {
+			return err
+		}
+		next := memory{}.withSnapshot(start)
+		next.hardState = &raftpb.HardState{
+			Term: new(start.GetMetadata().GetTerm()), Vote: new(uint64(0)), Commit: new(start.GetMetadata().GetIndex()),
+		}
+		if err := putSnapshot(tx, start); err != nil {
+			return err
+		}
+		return put(tx, stateBucket, onlyKey, next.state().encode())
+	})
+}
+
+// Open opens a log, checks it whole and loads it. Its error wraps ErrNotExist, ErrLocked, ErrForeign, ErrVersion,
+// ErrTorn or ErrCorrupt.
+func Open(path string, options Options) (log *Log, err error) {
+	defer guard(&err)
+	var verifyErr error
+	db, err := bolt.Open(path, fileMode, &bolt.Options{
+		MaxSize: options.maxBytes(),
+		OpenFile: func(name string, _ int, mode os.FileMode) (*os.File, error) {
+			var file *os.File
+			file, verifyErr = openVerified(name, mode)
+			return file, verifyErr
+		},
+	})
+	if verifyErr != nil {
+		return nil, verifyErr
+	}
+	if err != nil {
+		return nil, openError(err)
+	}
+	log = &Log{db: db}
+	if err := log.load(options.Identity); err != nil {
+		return nil, errors.Join(err, db.Close())
+	}
+	return log, nil
+}
+
+// openVerified opens and locks an existing file and checks its pages. The lock is the one that bbolt takes anew.
+func openVerified(name string, mode os.FileMode) (*os.File, error) {
+	file, err := os.OpenFile(name, os.O_RDWR, mode)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, fmt.Errorf("%w: %s", ErrNotExist, name)
+	}
+	if err != nil {
+		return nil, err
+	}
+	err = syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+	if errors.Is(err, syscall.EWOULDBLOCK) {
+		err = fmt.Errorf("%w: %s", ErrLocked, name)
+	}
+	if err == nil {
+		err = verifyPages(file)
+	}
+	if err != nil {
+		return nil, errors.Join(err, file.Close())
+	}
+	return file, nil
+}
+
+// Close closes the file. It is safe to call it twice.
+func (l *Log) Close() error {
+	if l.db == nil {
+		return nil
+	}
+	err := l.db.Close()
+	l.db = nil
+	l.broken = ErrClosed
+	return err
+}
+
+func (o Options) maxBytes() int {
+	if o.MaxBytes > 0 {
+		return o.MaxBytes
+	}
+	return DefaultMaxBytes
+}
+
+func encodeIdentity(identity Identity) []byte {
+	data := []byte(magic)
+	data = binary.BigEndian.AppendUint32(data, formatVersion)
+	data = binary.BigEndian.AppendUint64(data, identity.Fleet)
+	return binary.BigEndian.AppendUint64(data, identity.Node)
+}
+
+func checkIdentity(data []byte, want Identity) error {
+	if len(data) < len(magic)+4 || string(data[:len(magic)]) != magic {
+		return fmt.Errorf("%w: its identity is not one", ErrForeign)
+	}
+	if version := binary.BigEndian.Uint32(data[len(magic):]); version != formatVersion {
+		return fmt.Errorf("%w: %d, not %d", ErrVersion, version, formatVersion)
+	}
+	if len(data) != identityBytes {
+		return fmt.Errorf("%w: identity of %d bytes", ErrCorrupt, len(data))
+	}
+	numbers := data[len(magic)+4:]
+	found := Identity{Fleet: binary.BigEndian.Uint64(numbers), Node: binary.BigEndian.Uint64(numbers[8:])}
+	if found != want {
+		return fmt.Errorf("%w: fleet %x node %x, not fleet %x node %x", ErrForeign, found.Fleet, found.Node, want.Fleet,
+			want.Node)
+	}
+	return nil
+}
+
+// openError names an error of bbolt on a file whose pages were found whole.
+func openError(err error) error {
+	switch {
+	case errors.Is(err, berrors.ErrInvalid):
+		return fmt.Errorf("%w: %w", ErrForeign, err)
+	case errors.Is(err, berrors.ErrVersionMismatch):
+		return fmt.Errorf("%w: %w", ErrVersion, err)
+	case errors.Is(err, berrors.ErrChecksum):
+		return fmt.Errorf("%w: %w", ErrCorrupt, err)
+	}
+	return diskError(err)
+}
+
+// diskError wraps ErrFull around the errors of a disk or file that can take no more.
+func diskError(err error) error {
+	full := errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) || errors.Is(err, syscall.EFBIG) ||
+		errors.Is(err, berrors.ErrMaxSizeReached)
+	if full {
+		return fmt.Errorf("%w: %w", ErrFull, err)
+	}
+	return err
+}
+
+// guard turns a panic of bbolt, and a fault in its mapped file, into an error that wraps ErrCorrupt. It is deferred.
+func guard(err *error) {
+	if cause := recover(); cause != nil {
+		*err = fmt.Errorf("%w: %v", ErrCorrupt, cause)
+	}
+}
+
+// faultsPanic makes a fault in the mapped file a panic until the function that it returns is called.
+func faultsPanic() (restore func()) {
+	before := debug.SetPanicOnFault(true)
+	return func() { debug.SetPanicOnFault(before) }
+}
+
+func syncDirectory(path string) error {
+	directory, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(directory.Sync(), directory.Close())
+}
--- /dev/null
+++ b/internal/raftlog/raftlog_test.go
@@ -0,0 +1,280 @@
+package raftlog
+
+import (
+	"math"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"go.etcd.io/raft/v3"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+)
+
+var testOptions = Options{Identity: Identity{Fleet: 7, Node: 2}, MaxBytes: 64 << 20}
+
+func snapshotAt(index, term uint64, data string) *raftpb.Snapshot {
+	return &raftpb.Snapshot{
+		Data: []byte(data),
+		Metadata: &raftpb.SnapshotMetadata{
+			Index: new(index), Term: new(term),
+			ConfState: &raftpb.ConfState{Voters: []uint64{1, 2, 3}, Learners: []uint64{4}},
+		},
+	}
+}
+
+func hardState(term, vote, commit uint64) *raftpb.HardState {
+	return &raftpb.HardState{Term: new(term), Vote: new(vote), Commit: new(commit)}
+}
+
+func entry(index, term uint64, data string) *raftpb.Entry {
+	return &raftpb.Entry{Index: new(index), Term: new(term), Data: []byte(data)}
+}
+
+func entries(first, last, term uint64) []*raftpb.Entry {
+	var made []*raftpb.Entry
+	for index := first; index <= last; index++ {
+		made = append(made, entry(index, term, "entry"))
+	}
+	return made
+}
+
+func create(t testing.TB) (*Log, string) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "log")
+	log, err := Create(path, testOptions, snapshotAt(1, 1, "start"))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = log.Close() })
+	return log, path
+}
+
+func reopen(t testing.TB, log *Log, path string) *Log {
+	t.Helper()
+	require.NoError(t, log.Close())
+	opened, err := Open(path, testOptions)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = opened.Close() })
+	requireSame(t, log.memory, opened.memory)
+	return opened
+}
+
+func requireSame(t testing.TB, want, got memory) {
+	t.Helper()
+	require.Equal(t, want.state(), got.state())
+	require.True(t, proto.Equal(want.snapshot, got.snapshot))
+	require.Len(t, got.entries, len(want.entries))
+	for i := range want.entries {
+		require.True(t, proto.Equal(want.entries[i], got.entries[i]), "entry %d", want.entries[i].GetIndex())
+	}
+}
+
+func TestNewLogStartsWithItsSnapshot(t *testing.T) {
+	log, path := create(t)
+	hard, conf, err := log.InitialState()
+	require.NoError(t, err)
+	require.True(t, proto.Equal(hardState(1, 0, 1), hard))
+	require.Equal(t, []uint64{1, 2, 3}, conf.GetVoters())
+	require.Equal(t, []uint64{4}, conf.GetLearners())
+	first, _ := log.FirstIndex()
+	last, _ := log.LastIndex()
+	require.Equal(t, uint64(2), first)
+	require.Equal(t, uint64(1), last)
+	term, err := log.Term(1)
+	require.NoError(t, err)
+	require.Equal(t, uint64(1), term)
+	reopen(t, log, path)
+}
+
+func TestSavedStateIsThereAfterReopening(t *testing.T) {
+	log, path := create(t)
+	require.NoError(t, log.Save(hardState(2, 3, 1), entries(2, 9, 2), nil))
+	log = reopen(t, log, path)
+	require.NoError(t, log.Save(hardState(3, 1, 4), entries(7, 8, 3), nil))
+	log = reopen(t, log, path)
+
+	last, _ := log.LastIndex()
+	require.Equal(t, uint64(8), last, "entry 9 was replaced")
+	got, err := log.Entries(2, 9, math.MaxUint64)
+	require.NoError(t, err)
+	require.Len(t, got, 7)
+	require.Equal(t, uint64(2), got[4].GetTerm())
+	require.Equal(t, uint64(3), got[5].GetTerm())
+}
+
+func TestEntriesKeepTheirBounds(t *testing.T) {
+	log, _ := create(t)
+	require.NoError(t, log.Save(hardState(2, 0, 1), entries(2, 9, 2), nil))
+	size := uint64(proto.Size(entry(2, 2, "entry")))
+	got, err := log.Entries(2, 10, 3*size)
+	require.NoError(t, err)
+	require.Len(t, got, 3)
+	got, err = log.Entries(5, 10, 0)
+	require.NoError(t, err)
+	require.Len(t, got, 1, "one at least")
+	require.Equal(t, 1, cap(got), "what its caller appends must not reach the log")
+	_, err = log.Entries(1, 3, size)
+	require.ErrorIs(t, err, raft.ErrCompacted)
+	_, err = log.Entries(2, 11, size)
+	require.ErrorIs(t, err, raft.ErrUnavailable)
+	_, err = log.Term(0)
+	require.ErrorIs(t, err, raft.ErrCompacted)
+	_, err = log.Term(10)
+	require.ErrorIs(t, err, raft.ErrUnavailable)
+}
+
+func TestCompactKeepsWhatTheSnapshotLacks(t *testing.T) {
+	log, path := create(t)
+	require.NoError(t, log.Save(hardState(2, 0, 8), entries(2, 9, 2), nil))
+	require.NoError(t, log.Compact(snapshotAt(8, 2, "eight"), 6))
+	log = reopen(t, log, path)
+	first, _ := log.FirstIndex()
+	last, _ := log.LastIndex()
+	require.Equal(t, []uint64{6, 9}, []uint64{first, last})
+	snapshot, err := log.Snapshot()
+	require.NoError(t, err)
+	require.Equal(t, "eight", string(snapshot.GetData()))
+	term, err := log.Term(5)
+	require.NoError(t, err, "the entry before the first keeps its term")
+	require.Equal(t, uint64(2), term)
+
+	require.NoError(t, log.Save(hardState(2, 0, 9), nil, nil))
+	require.NoError(t, log.Compact(snapshotAt(9, 2, "nine"), 10))
+	log = reopen(t, log, path)
+	require.NoError(t, log.Save(nil, entries(10, 12, 2), nil))
+	reopen(t, log, path)
+}
+
+func TestSnapshotOfTheLeaderReplacesTheLog(t *testing.T) {
+	log, path := create(t)
+	require.NoError(t, log.Save(hardState(2, 0, 3), entries(2, 9, 2), nil))
+	require.NoError(t, log.Save(hardState(4, 0, 20), entries(21, 22, 4), snapshotAt(20, 4, "twenty")))
+	log = reopen(t, log, path)
+	first, _ := log.FirstIndex()
+	last, _ := log.LastIndex()
+	require.Equal(t, []uint64{21, 22}, []uint64{first, last})
+}
+
+func TestWritesThatDoNotFitAreRefusedAndChangeNothing(t *testing.T) {
+	log, path := create(t)
+	require.NoError(t, log.Save(hardState(3, 2, 4), entries(2, 9, 3), nil))
+	for name, write := range map[string]func() error{
+		"gap":                    func() error { return log.Save(nil, entries(11, 12, 3), nil) },
+		"compacted entry":        func() error { return log.Save(nil, entries(1, 2, 3), nil) },
+		"gap within":             func() error { return log.Save(nil, []*raftpb.Entry{entry(10, 3, ""), entry(12, 3, "")}, nil) },
+		"entry of a later term":  func() error { return log.Save(nil, entries(10, 10, 4), nil) },
+		"entry of an early term": func() error { return log.Save(nil, entries(10, 10, 2), nil) },
+		"committed entry lost":   func() error { return log.Save(hardState(4, 0, 4), entries(4, 9, 4), nil) },
+		"term goes back":         func() error { return log.Save(hardState(2, 0, 4), nil, nil) },
+		"second vote":            func() error { return log.Save(hardState(3, 1, 4), nil, nil) },
+		"vote forgotten":         func() error { return log.Save(hardState(3, 0, 4), nil, nil) },
+		"commit goes back":       func() error { return log.Save(hardState(3, 2, 3), nil, nil) },
+		"commit beyond the end":  func() error { return log.Save(hardState(3, 2, 10), nil, nil) },
+		"old snapshot":           func() error { return log.Save(nil, nil, snapshotAt(1, 1, "")) },
+		"snapshot uncommitted":   func() error { return log.Compact(snapshotAt(5, 3, ""), 5) },
+		"snapshot of other term": func() error { return log.Compact(snapshotAt(4, 2, ""), 5) },
+		"snapshot not in log":    func() error { return log.Compact(snapshotAt(12, 3, ""), 5) },
+		"uncovered compaction":   func() error { return log.Compact(snapshotAt(4, 3, ""), 6) },
+	} {
+		require.ErrorIs(t, write(), ErrInvalid, name)
+	}
+	log = reopen(t, log, path)
+	require.NoError(t, log.Save(hardState(3, 2, 9), entries(10, 10, 3), nil), "the log still works")
+}
+
+func TestCreateRefusesWhatExistsAndTakesOverWhatIsUnfinished(t *testing.T) {
+	_, path := create(t)
+	_, err := Create(path, testOptions, snapshotAt(1, 1, "start"))
+	require.ErrorIs(t, err, ErrExists)
+
+	other := filepath.Join(t.TempDir(), "log")
+	require.NoError(t, os.WriteFile(other+".new", []byte("half a file"), fileMode))
+	log, err := Create(other, testOptions, snapshotAt(1, 1, "start"))
+	require.NoError(t, err)
+	require.NoError(t, log.Close())
+	_, err = Create(filepath.Join(t.TempDir(), "log"), testOptions, nil)
+	require.ErrorIs(t, err, ErrInvalid)
+}
+
+func TestOpenNamesWhatIsWrong(t *testing.T) {
+	log, path := create(t)
+	_, err := Open(path+".none", testOptions)
+	require.ErrorIs(t, err, ErrNotExist)
+	_, err = Open(path, testOptions)
+	require.ErrorIs(t, err, ErrLocked)
+	require.NoError(t, log.Close())
+	for _, identity := range []Identity{{Fleet: 8, Node: 2}, {Fleet: 7, Node: 3}} {
+		_, err = Open(path, Options{Identity: identity})
+		require.ErrorIs(t, err, ErrForeign)
+	}
+	require.ErrorIs(t, log.Save(hardState(5, 0, 1), nil, nil), ErrClosed)
+}
+
+// TestRandomHistoryEqualsMemoryStorage holds a log against the storage in memory that raft brings with it.
+func TestRandomHistoryEqualsMemoryStorage(t *testing.T) {
+	for seed := range uint64(8) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		log, path := create(t)
+		model := raft.NewMemoryStorage()
+		require.NoError(t, model.ApplySnapshot(snapshotAt(1, 1, "start")))
+		hard := hardState(1, 0, 1)
+		for range 60 {
+			last, _ := log.LastIndex()
+			hard = hardState(hard.GetTerm()+uint64(random.IntN(2)), 0, hard.GetCommit())
+			from := hard.GetCommit() + 1 + uint64(random.Int64N(int64(last-hard.GetCommit()+1)))
+			added := entries(from, from+uint64(random.IntN(4)), hard.GetTerm())
+			end := added[len(added)-1].GetIndex()
+			hard.Commit = new(hard.GetCommit() + uint64(random.Int64N(int64(end-hard.GetCommit()+1))))
+			require.NoError(t, log.Save(hard, added, nil))
+			require.NoError(t, model.Append(added))
+			require.NoError(t, model.SetHardState(hard))
+			compactRandomly(t, random, log, model)
+			requireEqualsModel(t, model, log)
+		}
+		requireEqualsModel(t, model, reopen(t, log, path))
+	}
+}
+
+func compactRandomly(t *testing.T, random *rand.Rand, log *Log, model *raft.MemoryStorage) {
+	t.Helper()
+	hard, conf, _ := log.InitialState()
+	snapshot, _ := log.Snapshot()
+	if random.IntN(6) > 0 || hard.GetCommit() <= snapshot.GetMetadata().GetIndex() {
+		return
+	}
+	made, err := model.CreateSnapshot(hard.GetCommit(), conf, []byte("made"))
+	require.NoError(t, err)
+	first, _ := log.FirstIndex()
+	keep := first + uint64(random.Int64N(int64(hard.GetCommit()+2-first)))
+	require.NoError(t, log.Compact(made, keep))
+	if keep > first {
+		require.NoError(t, model.Compact(keep-1))
+	}
+}
+
+func requireEqualsModel(t *testing.T, model *raft.MemoryStorage, log *Log) {
+	t.Helper()
+	wantFirst, _ := model.FirstIndex()
+	wantLast, _ := model.LastIndex()
+	first, _ := log.FirstIndex()
+	last, _ := log.LastIndex()
+	require.Equal(t, []uint64{wantFirst, wantLast}, []uint64{first, last})
+	if first <= last {
+		want, err := model.Entries(first, last+1, math.MaxUint64)
+		require.NoError(t, err)
+		got, err := log.Entries(first, last+1, math.MaxUint64)
+		require.NoError(t, err)
+		require.Len(t, got, len(want))
+		for i := range want {
+			require.True(t, proto.Equal(want[i], got[i]))
+		}
+	}
+	wantSnapshot, _ := model.Snapshot()
+	snapshot, _ := log.Snapshot()
+	require.True(t, proto.Equal(wantSnapshot, snapshot))
+	wantTerm, wantErr := model.Term(first - 1)
+	term, err := log.Term(first - 1)
+	require.Equal(t, wantErr, err)
+	require.Equal(t, wantTerm, term)
+}
--- /dev/null
+++ b/internal/raftlog/record.go
@@ -0,0 +1,143 @@
+package raftlog
+
+import (
+	"encoding/binary"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	bolt "go.etcd.io/bbolt"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+)
+
+// The buckets. State and snapshot are apart, since bbolt writes the page of a record whole: the state is written by
+// every Save, and a snapshot has megabytes.
+var (
+	identityBucket = []byte("identity")
+	stateBucket    = []byte("state")
+	snapshotBucket = []byte("snapshot")
+	entriesBucket  = []byte("entries")
+
+	onlyKey = []byte("only") // of the buckets that hold one record
+)
+
+const checksumBytes = 8
+
+// state is the record that every Save writes. It has the bounds of the entries, so that none can be missing unseen.
+type state struct {
+	term, vote, commit uint64
+	compacted, last    position
+}
+
+const stateBytes = 7 * 8
+
+func (m memory) state() state {
+	return state{
+		term: m.hardState.GetTerm(), vote: m.hardState.GetVote(), commit: m.hardState.GetCommit(),
+		compacted: m.compacted, last: m.last(),
+	}
+}
+
+func (s state) encode() []byte {
+	data := make([]byte, 0, stateBytes)
+	for _, number := range []uint64{
+		s.term, s.vote, s.commit, s.compacted.index, s.compacted.term, s.last.index, s.last.term,
+	} {
+		data = binary.BigEndian.AppendUint64(data, number)
+	}
+	return data
+}
+
+func decodeState(data []byte) (state, error) {
+	if len(data) != stateBytes {
+		return state{}, fmt.Errorf("%w: state of %d bytes", ErrCorrupt, len(data))
+	}
+	number := func(i int) uint64 { return binary.BigEndian.Uint64(data[8*i:]) }
+	return state{
+		term: number(0), vote: number(1), commit: number(2),
+		compacted: position{index: number(3), term: number(4)},
+		last:      position{index: number(5), term: number(6)},
+	}, nil
+}
+
+// seal returns a record: the payload and a checksum over its place and the payload.
+func seal(bucket, key, payload []byte) []byte {
+	record := make([]byte, 0, len(payload)+checksumBytes)
+	record = append(record, payload...)
+	return binary.BigEndian.AppendUint64(record, checksum(bucket, key, payload))
+}
+
+// unseal returns the payload of a record, as part of it.
+func unseal(bucket, key, record []byte) ([]byte, error) {
+	if len(record) < checksumBytes {
+		return nil, fmt.Errorf("%w: record %s/%x of %d bytes", ErrCorrupt, bucket, key, len(record))
+	}
+	payload := record[:len(record)-checksumBytes]
+	if binary.BigEndian.Uint64(record[len(payload):]) != checksum(bucket, key, payload) {
+		return nil, fmt.Errorf("%w: checksum of record %s/%x", ErrCorrupt, bucket, key)
+	}
+	return payload, nil
+}
+
+func checksum(bucket, key, payload []byte) uint64 {
+	digest := xxhash.New()
+	for _, part := range [][]byte{bucket, key} {
+		var length [4]byte
+		binary.BigEndian.PutUint32(length[:], uint32(len(part)))
+		_, _ = digest.Write(length[:]) // never fails
+		_, _ = digest.Write(part)
+	}
+	_, _ = digest.Write(payload)
+	return digest.Sum64()
+}
+
+func put(tx *bolt.Tx, bucket, key, payload []byte) error {
+	return tx.Bucket(bucket).Put(key, seal(bucket, key, payload))
+}
+
+func putSnapshot(tx *bolt.Tx, snapshot *raftpb.Snapshot) error {
+	data, err := proto.Marshal(snapshot)
+	if err != nil {
+		return err
+	}
+	return put(tx, snapshotBucket, onlyKey, data)
+}
+
+func putEntry(tx *bolt.Tx, entry *raftpb.Entry) error {
+	data, err := proto.Marshal(entry)
+	if err != nil {
+		return err
+	}
+	return put(tx, entriesBucket, entryKey(entry.GetIndex()), data)
+}
+
+func entryKey(index uint64) []byte { return binary.BigEndian.AppendUint64(nil, index) }
+
+// get returns the payload of the one record of a bucket, as part of the mapped file.
+func get(tx *bolt.Tx, name []byte) ([]byte, error) {
+	bucket := tx.Bucket(name)
+	if bucket == nil {
+		return nil, fmt.Errorf("%w: no bucket %s", ErrCorrupt, name)
+	}
+	record := bucket.Get(onlyKey)
+	if record == nil {
+		return nil, fmt.Errorf("%w: no record in bucket %s", ErrCorrupt, name)
+	}
+	return unseal(name, onlyKey, record)
+}
+
+// decodeEntry reads the record of an entry.
+func decodeEntry(key, record []byte) (*raftpb.Entry, error) {
+	payload, err := unseal(entriesBucket, key, record)
+	if err != nil {
+		return nil, err
+	}
+	entry := &raftpb.Entry{}
+	if err := proto.Unmarshal(payload, entry); err != nil {
+		return nil, fmt.Errorf("%w: entry %x: %w", ErrCorrupt, key, err)
+	}
+	if string(entryKey(entry.GetIndex())) != string(key) {
+		return nil, fmt.Errorf("%w: entry %d under key %x", ErrCorrupt, entry.GetIndex(), key)
+	}
+	return entry, nil
+}
--- /dev/null
+++ b/internal/raftlog/save.go
@@ -0,0 +1,165 @@
+package raftlog
+
+import (
+	"fmt"
+
+	bolt "go.etcd.io/bbolt"
+	"go.etcd.io/raft/v3"
+	"go.etcd.io/raft/v3/raftpb"
+)
+
+// Save writes what a raft.Ready asks to be saved, in one transaction that is synced before it returns: a snapshot
+// replaces the log, entries replace those of the same and higher indexes, then the hard state. Each may be empty. Its
+// error wraps ErrInvalid where the write doesn't fit the log (nothing is written), ErrFull where the disk or the file
+// can take no more, ErrCorrupt where the file turned out corrupt, or is that of the disk.
+func (l *Log) Save(hardState *raftpb.HardState, entries []*raftpb.Entry, snapshot *raftpb.Snapshot) error {
+	if l.broken != nil {
+		return l.broken
+	}
+	before := l.memory
+	next := before
+	if !raft.IsEmptySnap(snapshot) {
+		if snapshot.GetMetadata().GetIndex() <= before.snapshot.GetMetadata().GetIndex() {
+			return fmt.Errorf("%w: snapshot of entry %d after that of %d", ErrInvalid,
+				snapshot.GetMetadata().GetIndex(), before.snapshot.GetMetadata().GetIndex())
+		}
+		next = next.withSnapshot(snapshot)
+	}
+	if len(entries) > 0 {
+		if err := next.checkAppend(entries); err != nil {
+			return err
+		}
+		next = next.withEntries(entries)
+	}
+	if !raft.IsEmptyHardState(hardState) {
+		next.hardState = hardState
+	}
+	if err := next.checkSave(before); err != nil {
+		return err
+	}
+	return l.replace(next, func(tx *bolt.Tx) error { return writeSave(tx, before, next, entries) })
+}
+
+// Compact stores a snapshot that this member made itself and drops the entries before an index, in one transaction
+// that is synced before it returns. The snapshot must be newer than the stored one and of a committed entry, and the
+// entries that it doesn't cover are kept. Errors are those of Save.
+func (l *Log) Compact(snapshot *raftpb.Snapshot, first uint64) error {
+	if l.broken != nil {
+		return l.broken
+	}
+	before := l.memory
+	index := snapshot.GetMetadata().GetIndex()
+	term, err := l.Term(index)
+	switch {
+	case err != nil || term != snapshot.GetMetadata().GetTerm():
+		return fmt.Errorf("%w: snapshot of entry %d, which is not in the log", ErrInvalid, index)
+	case index <= before.snapshot.GetMetadata().GetIndex() || index > before.hardState.GetCommit():
+		return fmt.Errorf("%w: snapshot of entry %d, commit is %d", ErrInvalid, index, before.hardState.GetCommit())
+	case first <= before.compacted.index || first > index+1:
+		return fmt.Errorf("%w: snapshot of entry %d, entries kept from %d", ErrInvalid, index, first)
+	}
+	next := before.withoutBefore(first)
+	next.snapshot = snapshot
+	return l.replace(next, func(tx *bolt.Tx) error {
+		if err := deleteEntries(tx, before.compacted.index+1, first); err != nil {
+			return err
+		}
+		if err := putSnapshot(tx, snapshot); err != nil {
+			return err
+		}
+		return put(tx, stateBucket, onlyKey, next.state().encode())
+	})
+}
+
+func (m memory) checkAppend(entries []*raftpb.Entry) error {
+	first := entries[0].GetIndex()
+	if first <= m.compacted.index || first > m.last().index+1 {
+		return fmt.Errorf("%w: entry %d, the log has %d to %d", ErrInvalid, first, m.compacted.index+1, m.last().index)
+	}
+	before := m.compacted
+	if kept := first - m.compacted.index - 1; kept > 0 {
+		entry := m.entries[kept-1]
+		before = position{index: entry.GetIndex(), term: entry.GetTerm()}
+	}
+	if err := checkSequence(before, entries); err != nil {
+		return fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	return nil
+}
+
+// checkSave states what a write must never undo: the term, the vote in a term, and what is committed.
+func (m memory) checkSave(before memory) error {
+	was, is := before.hardState, m.hardState
+	switch {
+	case is.GetTerm() < was.GetTerm():
+		return fmt.Errorf("%w: term %d after %d", ErrInvalid, is.GetTerm(), was.GetTerm())
+	case is.GetTerm() == was.GetTerm() && was.GetVote() != 0 && is.GetVote() != was.GetVote():
+		return fmt.Errorf("%w: vote for %x after %x in term %d", ErrInvalid, is.GetVote(), was.GetVote(), is.GetTerm())
+	case is.GetCommit() < was.GetCommit():
+		return fmt.Errorf("%w: commit %d after %d", ErrInvalid, is.GetCommit(), was.GetCommit())
+	}
+	for index := max(before.compacted.index, m.compacted.index) + 1; index <= was.GetCommit(); index++ {
+		if index > m.last().index || before.termAt(index) != m.termAt(index) {
+			return fmt.Errorf("%w: committed entry %d would be lost", ErrInvalid, index)
+		}
+	}
+	if err := m.check(); err != nil {
+		return fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	return nil
+}
+
+func (m memory) termAt(index uint64) uint64 { return m.entries[index-m.compacted.index-1].GetTerm() }
+
+func writeSave(tx *bolt.Tx, before, next memory, entries []*raftpb.Entry) error {
+	replaced := next.snapshot != before.snapshot
+	first, end := uint64(0), before.last().index+1
+	switch {
+	case replaced:
+		first = before.compacted.index + 1
+	case len(entries) > 0:
+		first = entries[0].GetIndex()
+	default:
+		first = end
+	}
+	if err := deleteEntries(tx, first, end); err != nil {
+		return err
+	}
+	if replaced {
+		if err := putSnapshot(tx, next.snapshot); err != nil {
+			return err
+		}
+	}
+	for _, entry := range entries {
+		if err := putEntry(tx, entry); err != nil {
+			return err
+		}
+	}
+	return put(tx, stateBucket, onlyKey, next.state().encode())
+}
+
+func deleteEntries(tx *bolt.Tx, first, end uint64) error {
+	bucket := tx.Bucket(entriesBucket)
+	for index := first; index < end; index++ {
+		if err := bucket.Delete(entryKey(index)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// replace runs a write and, once it is on the disk, makes next what is read.
+func (l *Log) replace(next memory, write func(tx *bolt.Tx) error) error {
+	if err := l.update(write); err != nil {
+		l.broken = err
+		return err
+	}
+	l.memory = next
+	return nil
+}
+
+func (l *Log) update(write func(tx *bolt.Tx) error) (err error) {
+	defer guard(&err)
+	defer faultsPanic()()
+	return diskError(l.db.Update(write))
+}
