--- /dev/null
+++ b/internal/consensus/logger.go
@@ -0,0 +1,66 @@
+package consensus
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+
+	"go.etcd.io/raft/v3"
+)
+
+// raftLogger hands the lines of raft to a structured log, one level lower than raft has them: it tells each step of an
+// election as information.
+type raftLogger struct {
+	logger *slog.Logger
+}
+
+var _ raft.Logger = (*raftLogger)(nil)
+
+func (l *raftLogger) log(level slog.Level, arguments []any) {
+	if l.logger.Enabled(context.Background(), level) {
+		l.logger.Log(context.Background(), level, "raft", "line", fmt.Sprint(arguments...))
+	}
+}
+
+func (l *raftLogger) logf(level slog.Level, format string, arguments []any) {
+	if l.logger.Enabled(context.Background(), level) {
+		l.logger.Log(context.Background(), level, "raft", "line", fmt.Sprintf(format, arguments...))
+	}
+}
+
+func (l *raftLogger) Debug(arguments ...any) { l.log(slog.LevelDebug-4, arguments) }
+
+func (l *raftLogger) Debugf(format string, arguments ...any) {
+	l.logf(slog.LevelDebug-4, format, arguments)
+}
+
+func (l *raftLogger) Info(arguments ...any) { l.log(slog.LevelDebug, arguments) }
+
+func (l *raftLogger) Infof(format string, arguments ...any) {
+	l.logf(slog.LevelDebug, format, arguments)
+}
+
+func (l *raftLogger) Warning(arguments ...any) { l.log(slog.LevelInfo, arguments) }
+
+func (l *raftLogger) Warningf(format string, arguments ...any) {
+	l.logf(slog.LevelInfo, format, arguments)
+}
+
+func (l *raftLogger) Error(arguments ...any) { l.log(slog.LevelError, arguments) }
+
+func (l *raftLogger) Errorf(format string, arguments ...any) {
+	l.logf(slog.LevelError, format, arguments)
+}
+
+// Fatal panics: raft must not go on, but its process may have more to do.
+func (l *raftLogger) Fatal(arguments ...any) { panic(fmt.Sprint(arguments...)) }
+
+func (l *raftLogger) Fatalf(format string, arguments ...any) {
+	panic(fmt.Sprintf(format, arguments...))
+}
+
+func (l *raftLogger) Panic(arguments ...any) { panic(fmt.Sprint(arguments...)) }
+
+func (l *raftLogger) Panicf(format string, arguments ...any) {
+	panic(fmt.Sprintf(format, arguments...))
+}
--- /dev/null
+++ b/internal/consensus/node.go
@@ -0,0 +1,388 @@
+package consensus
+
+import (
+	"fmt"
+	"time"
+
+	"go.etcd.io/raft/v3"
+	"go.etcd.io/raft/v3/raftpb"
+
+	"mothrouter/internal/configpb"
+	"mothrouter/internal/revision"
+)
+
+// Node is one member of the replicated log.
+type Node struct {
+	options   Options
+	raw       *raft.RawNode
+	storage   raft.Storage
+	machine   *revision.Machine
+	confState *raftpb.ConfState
+	stopped   error // what every further call returns
+
+	now         time.Time // of the last Tick
+	tickDue     time.Time
+	ready       *raft.Ready // handed out, Advance is awaited
+	appliedTerm uint64      // of the last entry applied
+	proposals   proposals
+	reads       reads
+	members     members
+	log         logSize
+	compaction  *Compaction
+}
+
+// logSize is what was applied since the last snapshot.
+type logSize struct {
+	entries int
+	bytes   int
+}
+
+// Compaction asks the storage to keep a snapshot and to drop the entries before First.
+type Compaction struct {
+	Snapshot *raftpb.Snapshot
+	First    uint64
+}
+
+// Ready is what a driver must do next, in the order of the fields: store the first three in one synced write, store
+// the compaction, send the messages. Then it calls Advance. All parts are immutable and may be empty.
+type Ready struct {
+	HardState  *raftpb.HardState
+	Entries    []*raftpb.Entry
+	Snapshot   *raftpb.Snapshot
+	Compaction *Compaction
+	Messages   []*raftpb.Message
+}
+
+// Applied is what an Advance has brought.
+type Applied struct {
+	Outcomes  []Outcome            // of proposals made at this member
+	Reads     []ReadOutcome        // of reads asked at this member
+	Revisions []*configpb.Revision // new ones, ascending; after Restored there may be a gap before the first
+	Restored  bool                 // the state came from a snapshot of the leader: see Machine for the newest
+}
+
+// Outcome is what became of a proposal.
+type Outcome struct {
+	Request uint64
+	Result  revision.Result
+	Err     error // ErrUnknown or ErrTimeout: it may be applied or not, ask again with the same request
+}
+
+// ReadOutcome is the answer to a read.
+type ReadOutcome struct {
+	ID     uint64
+	Newest uint64 // number of the newest revision, at some time between the Read and this
+	Err    error  // ErrTimeout
+}
+
+// New returns the node of a storage, which must hold StartSnapshot or what grew from it. Its error wraps ErrSettings
+// or ErrStorage.
+func New(options Options, storage raft.Storage, now time.Time) (node *Node, err error) {
+	options, err = options.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	snapshot, err := storage.Snapshot()
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrStorage, err)
+	}
+	machine, err := restore(snapshot, options.Members)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrStorage, err)
+	}
+	node = &Node{
+		options:     options,
+		storage:     storage,
+		now:         now,
+		tickDue:     now.Add(options.TickInterval),
+		machine:     machine,
+		confState:   snapshot.GetMetadata().GetConfState(),
+		appliedTerm: snapshot.GetMetadata().GetTerm(),
+		proposals:   newProposals(),
+		members:     newMembers(options.Members, now),
+	}
+	defer func() {
+		if cause := recover(); cause != nil { // raft panics where the storage contradicts itself
+			node, err = nil, fmt.Errorf("%w: %v", ErrStorage, cause)
+		}
+	}()
+	node.raw, err = raft.NewRawNode(node.config())
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrStorage, err)
+	}
+	return node, nil
+}
+
+func (n *Node) config() *raft.Config {
+	return &raft.Config{
+		ID:                        n.options.ID,
+		ElectionTick:              electionTicks,
+		HeartbeatTick:             heartbeatTicks,
+		Storage:                   n.storage,
+		Applied:                   n.machine.Applied(),
+		MaxSizePerMsg:             maxAppendBytes,
+		MaxCommittedSizePerReady:  maxApplyBytes,
+		MaxUncommittedEntriesSize: maxUncommittedBytes,
+		MaxInflightMsgs:           maxInflightMessages,
+		MaxInflightBytes:          maxInflightBytes,
+		CheckQuorum:               true,
+		PreVote:                   true,
+		ReadOnlyOption:            raft.ReadOnlySafe,
+		Logger:                    &raftLogger{logger: n.options.Logger},
+		DisableProposalForwarding: true, // the leader stamps the time of publication
+		StepDownOnRemoval:         true,
+	}
+}
+
+// Machine returns the state machine, to be read only, and only while no method of the node runs. After an Advance with
+// Restored it is another one.
+func (n *Node) Machine() *revision.Machine { return n.machine }
+
+// Leader returns the id of the leader, 0 where none is known.
+func (n *Node) Leader() uint64 { return n.raw.BasicStatus().Lead }
+
+// Err returns why the node has stopped, or nil. A stopped node sends and applies nothing more and must be made anew
+// from its storage.
+func (n *Node) Err() error { return n.stopped }
+
+// Tick tells the node the time. It is called every Options.TickInterval; where it comes late, two ticks are made up
+// for at most.
+func (n *Node) Tick(now time.Time) {
+	if n.stopped != nil {
+		return
+	}
+	paused := n.observe(now)
+	for range n.ticksDue() {
+		n.raw.Tick()
+	}
+	n.checkLeadership()
+	if paused {
+		n.members.hearAll(n.now)
+	}
+	n.proposals.expire(n.now)
+	n.reads.expire(n.now)
+	n.watchMembers()
+	n.startRound()
+}
+
+// observe takes the time in and tells whether more than an election timeout has passed since it last did.
+func (n *Node) observe(now time.Time) (paused bool) {
+	if now.Before(n.now) {
+		return false
+	}
+	paused = now.Sub(n.now) > n.options.electionTimeout()
+	n.now = now
+	return paused
+}
+
+func (n *Node) ticksDue() int {
+	due := 0
+	for ; due < maxTicksAtOnce && !n.tickDue.After(n.now); due++ {
+		n.tickDue = n.tickDue.Add(n.options.TickInterval)
+	}
+	if !n.tickDue.After(n.now) {
+		n.tickDue = n.now.Add(n.options.TickInterval)
+	}
+	return due
+}
+
+// Propose appends a command to the log. It is answered by an Outcome with its request id, by ProposalTimeout at the
+// latest; a request that is waiting already is not appended again. Its error is a NotLeaderError, or wraps ErrBusy,
+// ErrDropped, revision.ErrCommand or ErrBroken, and then there is no outcome.
+func (n *Node) Propose(command *configpb.Command) error {
+	if n.stopped != nil {
+		return n.stopped
+	}
+	status := n.raw.BasicStatus()
+	if status.RaftState != raft.StateLeader {
+		return &NotLeaderError{Leader: status.Lead}
+	}
+	if n.proposals.has(command.GetRequest()) {
+		return nil
+	}
+	if n.proposals.full() {
+		return ErrBusy
+	}
+	data, err := revision.Encode(command)
+	if err != nil {
+		return err
+	}
+	if err := n.raw.Propose(data); err != nil {
+		return fmt.Errorf("%w: %w", ErrDropped, err)
+	}
+	n.proposals.add(command.GetRequest(), n.now.Add(ProposalTimeout))
+	return nil
+}
+
+// Step takes in a message of another member. Its error wraps ErrMessage where the message is malformed: it has changed
+// nothing. It wraps ErrLostLog or ErrBroken where the node has stopped, see Err.
+func (n *Node) Step(message *raftpb.Message) error {
+	if n.stopped != nil {
+		return n.stopped
+	}
+	if err := n.checkMessage(message); err != nil {
+		return err
+	}
+	if message.GetType() == raftpb.MsgReadIndex && !n.answersReads() {
+		return nil // raft would keep it, without bound; the other asks again
+	}
+	n.members.hear(message.GetFrom(), n.now)
+	if err := n.stepRaft(message); err != nil {
+		return err
+	}
+	n.checkLeadership()
+	return nil
+}
+
+func (n *Node) stepRaft(message *raftpb.Message) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			n.stopped = fmt.Errorf("%w: %v from %d: %v", ErrBroken, message.GetType(), message.GetFrom(), cause)
+			err = n.stopped
+		}
+	}()
+	if err := n.raw.Step(message); err != nil {
+		return fmt.Errorf("%w: %w", ErrMessage, err)
+	}
+	return nil
+}
+
+// checkLeadership ends the proposals of a term that is over.
+func (n *Node) checkLeadership() {
+	status := n.raw.BasicStatus()
+	term := uint64(0) // of this node's leadership
+	if status.RaftState == raft.StateLeader {
+		term = status.GetTerm()
+	}
+	if term == n.members.leadership {
+		return
+	}
+	n.members.beginLeadership(term, n.now)
+	n.proposals.giveUp()
+}
+
+// Ready returns what must be done next, or nil where nothing is. After a Ready, Advance must be called before the
+// next; Tick, Step, Propose and Read may come between.
+func (n *Node) Ready() *Ready {
+	if n.stopped != nil {
+		return nil
+	}
+	if n.ready != nil {
+		panic("consensus: Ready before Advance")
+	}
+	if !n.raw.HasReady() && n.compaction == nil && !n.proposals.hasOutcomes() && !n.reads.hasOutcomes() {
+		return nil
+	}
+	ready := n.raw.Ready()
+	n.ready = &ready
+	compaction := n.compaction
+	n.compaction = nil
+	if !raft.IsEmptySnap(ready.Snapshot) {
+		compaction = nil // that of the leader is newer
+	}
+	n.members.noteSent(ready.Messages, n.now)
+	return &Ready{
+		HardState:  ready.HardState,
+		Entries:    ready.Entries,
+		Snapshot:   ready.Snapshot,
+		Compaction: compaction,
+		Messages:   ready.Messages,
+	}
+}
+
+// Advance tells that all of the last Ready is stored and sent. It applies what is committed and returns what came of
+// it. It panics where no Ready is out.
+func (n *Node) Advance() Applied {
+	if n.ready == nil {
+		panic("consensus: Advance without Ready")
+	}
+	ready := n.ready
+	n.ready = nil
+	var applied Applied
+	if !raft.IsEmptySnap(ready.Snapshot) {
+		n.restore(ready.Snapshot)
+		applied.Restored = true
+	}
+	for _, entry := range ready.CommittedEntries {
+		n.apply(entry, &applied)
+	}
+	n.raw.Advance(*ready)
+	n.checkLeadership()
+	for _, state := range ready.ReadStates {
+		n.reads.answer(state.RequestCtx, n.options.Incarnation, state.Index)
+	}
+	n.reads.complete(n.machine.Applied(), n.machine.Number())
+	n.startRound()
+	n.planCompaction()
+	applied.Outcomes = n.proposals.takeOutcomes()
+	applied.Reads = n.reads.takeOutcomes()
+	return applied
+}
+
+// restore takes over a snapshot of the leader, which checkMessage has read before.
+func (n *Node) restore(snapshot *raftpb.Snapshot) {
+	machine, err := restore(snapshot, n.options.Members)
+	if err != nil {
+		panic(fmt.Sprintf("consensus: a snapshot that was checked: %v", err))
+	}
+	if machine.Applied() < n.machine.Applied() || machine.Number() < n.machine.Number() {
+		panic(fmt.Sprintf("consensus: snapshot of entry %d after entry %d", machine.Applied(), n.machine.Applied()))
+	}
+	n.machine = machine
+	n.confState = snapshot.GetMetadata().GetConfState()
+	n.appliedTerm = snapshot.GetMetadata().GetTerm()
+	n.log = logSize{}
+}
+
+func (n *Node) apply(entry *raftpb.Entry, applied *Applied) {
+	n.appliedTerm = entry.GetTerm()
+	n.log.entries++
+	n.log.bytes += len(entry.GetData())
+	switch {
+	case entry.GetType() == raftpb.EntryConfChangeV2:
+		n.machine.Skip(entry.GetIndex())
+		n.changeMembers(entry)
+	case entry.GetType() != raftpb.EntryNormal || len(entry.GetData()) == 0:
+		n.machine.Skip(entry.GetIndex()) // the first of a new leader
+	default:
+		n.applyCommand(entry, applied)
+	}
+}
+
+func (n *Node) applyCommand(entry *raftpb.Entry, applied *Applied) {
+	command, err := revision.Decode(entry.GetData())
+	if err != nil {
+		n.options.Logger.Error("entry is no command", "index", entry.GetIndex(), "error", err)
+		command = nil
+	}
+	result := n.machine.Apply(entry.GetIndex(), command)
+	if result.Rejection == revision.Accepted && !result.Repeated {
+		applied.Revisions = append(applied.Revisions, n.machine.Newest())
+	}
+	n.proposals.end(Outcome{Request: command.GetRequest(), Result: result})
+}
+
+// planCompaction asks for a snapshot where enough was applied since the last.
+func (n *Node) planCompaction() {
+	if n.log.entries < SnapshotEntries && n.log.bytes < SnapshotBytes {
+		return
+	}
+	index := n.machine.Applied()
+	first, err := n.storage.FirstIndex()
+	if err != nil {
+		panic(fmt.Sprintf("consensus: first index: %v", err))
+	}
+	if index > trailingEntries {
+		first = max(first, index-trailingEntries+1)
+	}
+	n.log = logSize{}
+	n.compaction = &Compaction{
+		First: first,
+		Snapshot: &raftpb.Snapshot{
+			Data: n.machine.Snapshot(),
+			Metadata: &raftpb.SnapshotMetadata{
+				Index: new(index), Term: new(n.appliedTerm), ConfState: n.confState,
+			},
+		},
+	}
+}
--- /dev/null
+++ b/internal/consensus/proposals.go
@@ -0,0 +1,60 @@
+package consensus
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// proposals are the commands that this member has appended as leader and that are not applied yet.
+type proposals struct {
+	deadlines map[uint64]time.Time // by request, at most MaxProposals
+	outcomes  []Outcome            // to be told by the next Advance
+}
+
+func newProposals() proposals {
+	return proposals{deadlines: make(map[uint64]time.Time)}
+}
+
+func (p *proposals) has(request uint64) bool {
+	_, found := p.deadlines[request]
+	return found
+}
+
+func (p *proposals) full() bool { return len(p.deadlines) >= MaxProposals }
+
+func (p *proposals) add(request uint64, deadline time.Time) { p.deadlines[request] = deadline }
+
+// end books the outcome of a request, if it was waiting.
+func (p *proposals) end(outcome Outcome) {
+	if !p.has(outcome.Request) {
+		return
+	}
+	delete(p.deadlines, outcome.Request)
+	p.outcomes = append(p.outcomes, outcome)
+}
+
+func (p *proposals) expire(now time.Time) {
+	for _, request := range p.requests() {
+		if !now.Before(p.deadlines[request]) {
+			p.end(Outcome{Request: request, Err: ErrTimeout})
+		}
+	}
+}
+
+func (p *proposals) giveUp() {
+	for _, request := range p.requests() {
+		p.end(Outcome{Request: request, Err: ErrUnknown})
+	}
+}
+
+// requests are sorted, so that the same run gives the same outcomes in the same order.
+func (p *proposals) requests() []uint64 { return slices.Sorted(maps.Keys(p.deadlines)) }
+
+func (p *proposals) hasOutcomes() bool { return len(p.outcomes) > 0 }
+
+func (p *proposals) takeOutcomes() []Outcome {
+	outcomes := p.outcomes
+	p.outcomes = nil
+	return outcomes
+}
--- /dev/null
+++ b/internal/consensus/reads.go
@@ -0,0 +1,174 @@
+package consensus
+
+import (
+	"encoding/binary"
+	"math"
+	"time"
+
+	"go.etcd.io/raft/v3"
+)
+
+// Unconfirmed is what Confirmed returns before the first round.
+const Unconfirmed time.Duration = math.MaxInt64
+
+// reads are the rounds of ReadIndex of this member. A round asks the leader for its commit index; the leader answers
+// once a quorum has acknowledged heartbeats that it sent after the question came in, so that it was leader, and its
+// commit index the highest, at some time after the round began. Once this member has applied up to that index, its
+// state holds all that was acknowledged to anybody before the round began.
+type reads struct {
+	waiting   []read  // for the next round
+	rounds    []round // open, oldest first
+	sequence  uint64  // of the last round
+	startedAt time.Time
+	confirmed time.Time // begin of the latest round that is complete
+	outcomes  []ReadOutcome
+	count     int // reads that wait, in waiting and in rounds
+}
+
+type read struct {
+	id       uint64
+	deadline time.Time
+}
+
+type round struct {
+	sequence uint64
+	started  time.Time
+	reads    []read
+	answered bool
+	index    uint64 // to be applied, where answered
+}
+
+// Read asks for the number of the newest revision. It is answered by a ReadOutcome of the same id, by ReadTimeout at
+// the latest. It returns ErrBusy where MaxReads are waiting, or the error of a stopped node.
+func (n *Node) Read(id uint64) error {
+	if n.stopped != nil {
+		return n.stopped
+	}
+	if n.reads.count >= MaxReads {
+		return ErrBusy
+	}
+	n.reads.count++
+	n.reads.waiting = append(n.reads.waiting, read{id: id, deadline: n.now.Add(ReadTimeout)})
+	n.startRound()
+	return nil
+}
+
+// Confirmed tells how old the newest revision of this member can be: every revision whose publication was acknowledged
+// more than so long ago is applied here. It is the time since the begin of the latest round of ReadIndex that came
+// back and up to whose index this member has applied, on a leader as on its followers, and Unconfirmed before the
+// first.
+//
+// Heartbeats alone would not do. A leader that is cut off sends them without a quorum behind it, and the commit index
+// in a heartbeat is no higher than what the follower has acknowledged, so that one that lags is told its own index.
+// Only this member's clock counts, between two readings of its own; a delay of messages makes the figure larger, never
+// too small. It is exact up to the drift of this clock.
+func (n *Node) Confirmed(now time.Time) time.Duration {
+	if n.reads.confirmed.IsZero() {
+		return Unconfirmed
+	}
+	return max(now.Sub(n.reads.confirmed), 0)
+}
+
+// answersReads tells whether this member, if it leads, has committed an entry of its term, without which its commit
+// index may be behind.
+func (n *Node) answersReads() bool {
+	status := n.raw.BasicStatus()
+	return status.RaftState != raft.StateLeader || n.appliedTerm == status.GetTerm()
+}
+
+// startRound begins a round where reads wait and none is open, or where the last began long enough ago.
+func (n *Node) startRound() {
+	due := n.now.Sub(n.reads.startedAt) >= roundTicks*n.options.TickInterval
+	asked := len(n.reads.waiting) > 0 && !n.reads.open()
+	if !due && !asked || n.Leader() == raft.None || !n.answersReads() {
+		return
+	}
+	n.raw.ReadIndex(n.reads.begin(n.options.Incarnation, n.now))
+}
+
+// open tells whether a round waits for its answer.
+func (r *reads) open() bool {
+	return len(r.rounds) > 0 && !r.rounds[len(r.rounds)-1].answered
+}
+
+// begin opens a round for all reads that wait and returns what names it.
+func (r *reads) begin(incarnation uint64, now time.Time) []byte {
+	r.sequence++
+	r.startedAt = now
+	r.rounds = append(r.rounds, round{sequence: r.sequence, started: now, reads: r.waiting})
+	r.waiting = nil
+	if len(r.rounds) > maxRounds {
+		r.dropOldest()
+	}
+	return binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, incarnation), r.sequence)
+}
+
+// dropOldest lets the reads of the oldest round join the next, whose answer serves them as well.
+func (r *reads) dropOldest() {
+	next := &r.rounds[1]
+	next.reads = append(r.rounds[0].reads, next.reads...)
+	r.rounds = r.rounds[1:]
+}
+
+// answer books the answer to a round. The answer to a later round serves the earlier ones too.
+func (r *reads) answer(name []byte, incarnation, index uint64) {
+	if len(name) != roundNameBytes || binary.BigEndian.Uint64(name) != incarnation {
+		return
+	}
+	sequence := binary.BigEndian.Uint64(name[8:])
+	for i := range r.rounds {
+		if r.rounds[i].sequence == sequence && !r.rounds[i].answered {
+			r.rounds[i].answered = true
+			r.rounds[i].index = index
+		}
+	}
+}
+
+// roundNameBytes is the size of a round's name: incarnation and sequence.
+const roundNameBytes = 16
+
+// complete ends the latest round whose index is applied, and all before it.
+func (r *reads) complete(applied, newest uint64) {
+	for i := len(r.rounds) - 1; i >= 0; i-- {
+		if !r.rounds[i].answered || r.rounds[i].index > applied {
+			continue
+		}
+		r.confirmed = r.rounds[i].started
+		for _, done := range r.rounds[:i+1] {
+			for _, read := range done.reads {
+				r.end(ReadOutcome{ID: read.id, Newest: newest})
+			}
+		}
+		r.rounds = append([]round(nil), r.rounds[i+1:]...)
+		return
+	}
+}
+
+func (r *reads) end(outcome ReadOutcome) {
+	r.count--
+	r.outcomes = append(r.outcomes, outcome)
+}
+
+func (r *reads) expire(now time.Time) {
+	r.waiting = r.expireOf(r.waiting, now)
+	for i := range r.rounds {
+		r.rounds[i].reads = r.expireOf(r.rounds[i].reads, now)
+	}
+}
+
+// expireOf ends the reads whose deadline is over. They lie in the order of their deadlines.
+func (r *reads) expireOf(reads []read, now time.Time) []read {
+	for len(reads) > 0 && !now.Before(reads[0].deadline) {
+		r.end(ReadOutcome{ID: reads[0].id, Err: ErrTimeout})
+		reads = reads[1:]
+	}
+	return reads
+}
+
+func (r *reads) hasOutcomes() bool { return len(r.outcomes) > 0 }
+
+func (r *reads) takeOutcomes() []ReadOutcome {
+	outcomes := r.outcomes
+	r.outcomes = nil
+	return outcomes
+}
