--- a/internal/controlserver/outbox.go
+++ b/internal/controlserver/outbox.go
@@ -1,26 +1,24 @@
 package controlserver
 
-import "sync"
+import (
+	"sync"
+
+	"mothrouter/internal/consensus"
+)
 
 const (
 	// MaxQueued is how many messages wait for one peer at most: a leader sends a follower a handful each heartbeat,
 	// so this is minutes of silence.
 	MaxQueued = 1024
 	// MaxQueuedBytes bounds the messages that wait for one peer: one snapshot, and 8 MiB of entries.
-	MaxQueuedBytes = MaxEnvelopeBytes + 8<<20
+	MaxQueuedBytes = consensus.MaxMessageBytes + 8<<20
 )
 
-// outgoing is one encoded message of the replicated log.
-type outgoing struct {
-	data     []byte
-	snapshot bool
-}
-
 // outbox is the bounded queue of messages to one peer. Where it is full the oldest message is dropped: the log sends
 // what matters again, and a newer message tells more.
 type outbox struct {
 	mu      sync.Mutex // guards what follows
-	waiting []outgoing
+	waiting [][]byte
 	bytes   int
 	dropped uint64
 
@@ -29,40 +27,38 @@
 
 func newOutbox() *outbox { return &outbox{ready: make(chan struct{}, 1)} }
 
-// put appends a message, and tells whether a snapshot was dropped for it.
-func (o *outbox) put(message outgoing) (snapshotDropped bool) {
+// put appends an encoded message.
+func (o *outbox) put(message []byte) {
 	o.mu.Lock()
 	o.waiting = append(o.waiting, message)
-	o.bytes += len(message.data)
+	o.bytes += len(message)
 	for len(o.waiting) > MaxQueued || o.bytes > MaxQueuedBytes {
-		oldest := o.removeOldest()
+		o.removeOldest()
 		o.dropped++
-		snapshotDropped = snapshotDropped || oldest.snapshot
 	}
 	o.mu.Unlock()
 	select {
 	case o.ready <- struct{}{}:
-	default:
+	default: // it holds one already
 	}
-	return snapshotDropped
 }
 
 // take removes the oldest message. It returns false where there is none.
-func (o *outbox) take() (outgoing, bool) {
+func (o *outbox) take() (message []byte, ok bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if len(o.waiting) == 0 {
-		return outgoing{}, false
+		return nil, false
 	}
 	return o.removeOldest(), true
 }
 
 // removeOldest needs the lock held and a message there.
-func (o *outbox) removeOldest() outgoing {
+func (o *outbox) removeOldest() []byte {
 	oldest := o.waiting[0]
-	o.waiting[0] = outgoing{}
+	o.waiting[0] = nil
 	o.waiting = o.waiting[1:]
-	o.bytes -= len(oldest.data)
+	o.bytes -= len(oldest)
 	return oldest
 }
 
--- /dev/null
+++ b/internal/controlserver/publications.go
@@ -0,0 +1,67 @@
+package controlserver
+
+import (
+	"errors"
+
+	"mothrouter/internal/consensus"
+)
+
+// maxWaiting is how many publishers wait for the outcomes of all requests: four for each that the log takes.
+const maxWaiting = 4 * consensus.MaxProposals
+
+// Errors of publications.
+var (
+	errBusy   = errors.New("too many publications wait")
+	errReused = errors.New("the request is waiting with another document")
+	errFirst  = errors.New("the first revision is being published")
+)
+
+// publications are the requests that wait for their outcome, by request id.
+type publications map[uint64]*publication
+
+type publication struct {
+	checksum uint64 // of the document
+	waiting  []chan<- consensus.Outcome
+}
+
+// check tells whether a publisher can wait for a request. A request whose outcome is awaited already must have the same
+// document. Before there is a revision one request is taken at a time: there is nothing yet to compare documents with.
+func (p publications) check(request, checksum, newest uint64) error {
+	before := p[request]
+	switch {
+	case before != nil && before.checksum != checksum:
+		return errReused
+	case p.count() >= maxWaiting:
+		return errBusy
+	case before == nil && newest == 0 && len(p) > 0:
+		return errFirst
+	}
+	return nil
+}
+
+// add has a publisher wait. The channel has to be of capacity 1.
+func (p publications) add(request, checksum uint64, waiting chan<- consensus.Outcome) {
+	if p[request] == nil {
+		p[request] = &publication{checksum: checksum}
+	}
+	p[request].waiting = append(p[request].waiting, waiting)
+}
+
+// end tells an outcome to all who wait for it.
+func (p publications) end(outcome consensus.Outcome) {
+	done := p[outcome.Request]
+	if done == nil {
+		return
+	}
+	delete(p, outcome.Request)
+	for _, waiting := range done.waiting {
+		waiting <- outcome
+	}
+}
+
+func (p publications) count() (count int) {
+	for _, one := range p {
+		count += len(one.waiting)
+	}
+	return count
+}
--- a/internal/controlserver/receive.go
+++ b/internal/controlserver/receive.go
@@ -11,21 +11,14 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
-	"google.golang.org/protobuf/proto"
 
 	"mothrouter/internal/configpb"
-	"mothrouter/internal/plane"
-	"mothrouter/internal/revision"
+	"mothrouter/internal/consensus"
 )
 
-const (
-	// MaxEnvelopeBytes is the largest encoded message of the replicated log that is taken: a snapshot, and 64 KiB for
-	// the fields beside it.
-	MaxEnvelopeBytes = revision.MaxSnapshotBytes + 64<<10
-	// maxPeerMessageBytes is the largest message that is read from a peer at all: one envelope that is a little too
-	// large is counted and dropped without the loss of its stream.
-	maxPeerMessageBytes = MaxEnvelopeBytes + 1<<20
-)
+// maxPeerMessageBytes is the largest message that is read from a peer at all: one envelope that is a little too large
+// is counted and dropped without the loss of its stream.
+const maxPeerMessageBytes = consensus.MaxMessageBytes + 1<<20
 
 // EnvelopeCounts are the envelopes that were received, by what became of them.
 type EnvelopeCounts struct {
@@ -47,9 +40,9 @@
 	heard  map[uint64]time.Time // by each peer; zero: never
 }
 
-func newReceiver(fleet string, self uint64, peers []peerAddress,
+func newReceiver(fleet, self uint64, peers []peerAddress,
 	deliver func(context.Context, *raftpb.Message) error) *receiver {
-	r := &receiver{fleet: plane.Fleet(fleet), self: self, deliver: deliver, heard: map[uint64]time.Time{}}
+	r := &receiver{fleet: fleet, self: self, deliver: deliver, heard: map[uint64]time.Time{}}
 	for _, p := range peers {
 		r.heard[p.id] = time.Time{}
 	}
@@ -91,12 +84,12 @@
 	switch size := len(envelope.GetMessage()); {
 	case size == 0: // says only that the peer is there
 		return nil
-	case size > MaxEnvelopeBytes:
+	case size > consensus.MaxMessageBytes:
 		r.counts.Oversized++
 		return nil
 	}
-	message := &raftpb.Message{}
-	if proto.Unmarshal(envelope.GetMessage(), message) != nil {
+	message, err := consensus.DecodeMessage(envelope.GetMessage())
+	if err != nil {
 		r.counts.Unreadable++
 		return nil
 	}
--- /dev/null
+++ b/internal/controlserver/server.go
@@ -0,0 +1,251 @@
+// Package controlserver runs a control machine: a member of the replicated log of configurations that serves brokers
+// and operators. It drives internal/consensus, internal/raftlog and internal/confighub over gRPC, files and the clock.
+//
+// One goroutine, the replica, owns the consensus node, the state machine and the log. The handlers of gRPC and the
+// streams of the other control machines talk to it by bounded channels. What it cannot store stops this machine, and
+// no other.
+package controlserver
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"path/filepath"
+	"time"
+
+	"golang.org/x/net/netutil"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
+
+	"mothrouter/internal/confighub"
+	"mothrouter/internal/configpb"
+	"mothrouter/internal/consensus"
+	"mothrouter/internal/distribution"
+	"mothrouter/internal/plane"
+	"mothrouter/internal/raftlog"
+)
+
+const (
+	// LogName is the file of the log in its folder.
+	LogName = "raft.db"
+
+	// maxConnections of brokers and operators: one for each session of the hub, and 100 for operators.
+	maxConnections = distribution.MaxSessions + 100
+	// maxPeerConnections: two for each of 8 members, whose former connections may not have ended yet.
+	maxPeerConnections = 16
+
+	// leastPing is how often a peer may ping at most, half of pingAfter.
+	leastPing = pingAfter / 2
+
+	// stopTimeout is how long a machine that is told to end waits for publications under way.
+	stopTimeout = 2 * time.Second
+)
+
+// Member is one of the control machines.
+type Member struct {
+	Name        string
+	ID          uint64 // in the log; never 0, never of another machine later
+	Address     string // host:port, where brokers and operators reach it
+	PeerAddress string // host:port, where the other members reach it
+	Voter       bool   // at the begin of the log; false: the spare
+}
+
+// Options of a control machine.
+type Options struct {
+	Fleet        string // its fingerprint marks what members send each other
+	Name         string // of this machine, among the members
+	Members      []Member
+	Folder       string // of the log; must exist
+	Create       bool   // make a new log: the folder must have none. Otherwise it must have one
+	PromoteAfter time.Duration
+	Listener     net.Listener // for brokers and operators; closed by Run
+	PeerListener net.Listener // for the other members; closed by Run
+	Validate     Validate
+	Log          *slog.Logger
+}
+
+// ErrNoLog tells that the folder has no log, and that none was to be made.
+var ErrNoLog = errors.New("there is no log")
+
+// Run runs a control machine until the context ends, or until it cannot go on: then the error tells why, and nothing
+// was acknowledged that is not stored. Run is called once for its options.
+func Run(ctx context.Context, o Options) error {
+	defer o.Listener.Close()
+	defer o.PeerListener.Close()
+	self, peers, err := o.split()
+	if err != nil {
+		return err
+	}
+	log, err := o.openLog(self.ID)
+	if err != nil {
+		return err
+	}
+	err = o.run(ctx, self, peers, log)
+	return errors.Join(err, log.Close())
+}
+
+// split returns this machine and where the others are reached.
+func (o Options) split() (self Member, peers []peerAddress, err error) {
+	for _, m := range o.Members {
+		if m.Name == o.Name {
+			self = m
+		} else {
+			peers = append(peers, peerAddress{id: m.ID, address: m.PeerAddress})
+		}
+	}
+	if self.ID == 0 {
+		return self, nil, fmt.Errorf("%q is not among the members", o.Name)
+	}
+	return self, peers, nil
+}
+
+// openLog opens the log, or makes it.
+func (o Options) openLog(id uint64) (*raftlog.Log, error) {
+	path := filepath.Join(o.Folder, LogName)
+	options := raftlog.Options{Identity: raftlog.Identity{Fleet: plane.Fleet(o.Fleet), Node: id}}
+	if !o.Create {
+		log, err := raftlog.Open(path, options)
+		if errors.Is(err, raftlog.ErrNotExist) {
+			return nil, fmt.Errorf("%w in %s: a new one is made with --create, when the fleet of control machines is "+
+				"new; a machine that has lost its log must not come back with an empty one", ErrNoLog, o.Folder)
+		}
+		return log, describe(path, err)
+	}
+	var voters, spares []uint64
+	for _, m := range o.Members {
+		if m.Voter {
+			voters = append(voters, m.ID)
+		} else {
+			spares = append(spares, m.ID)
+		}
+	}
+	log, err := raftlog.Create(path, options, consensus.StartSnapshot(voters, spares))
+	return log, describe(path, err)
+}
+
+// describe names the file of an error.
+func describe(path string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return fmt.Errorf("the log %s: %w", path, err)
+}
+
+// run starts all parts on an open log and ends them in turn.
+func (o Options) run(ctx context.Context, self Member, peers []peerAddress, log *raftlog.Log) error {
+	node, err := consensus.New(consensus.Options{
+		ID: self.ID, Members: ids(o.Members), Incarnation: uint64(time.Now().UnixNano()),
+		LostAfter: o.PromoteAfter, Logger: o.Log,
+	}, log, time.Now())
+	if err != nil {
+		return err
+	}
+	fleet := plane.Fleet(o.Fleet)
+	streams, err := newTransport(fleet, self.ID, peers, o.Log)
+	if err != nil {
+		return err
+	}
+	defer streams.close()
+	hub := confighub.New(o.Log)
+	owner := newReplica(node, log, hub, o.Log)
+	owner.send = streams.send
+	received := newReceiver(fleet, self.ID, peers, owner.deliver)
+	control := &service{
+		publisher: newPublisher(self.ID, owner, o.Validate),
+		self:      self, members: o.Members, replica: owner, hub: hub, reachable: received.reachable,
+	}
+	control.publisher.forward = streams.forward
+	control.publisher.describe = func(id uint64) string {
+		leader := control.member(id)
+		return fmt.Sprintf("%s at %s", leader.Name, leader.Address)
+	}
+	brokers := newBrokerServer(control)
+	members := newPeerServer(control, received)
+	failed := make(chan error, 3)
+	go func() { failed <- brokers.Serve(netutil.LimitListener(o.Listener, maxConnections)) }()
+	go func() { failed <- members.Serve(netutil.LimitListener(o.PeerListener, maxPeerConnections)) }()
+	owning, stop := context.WithCancel(context.Background())
+	defer stop()
+	go func() { failed <- owner.run(owning) }()
+	o.Log.Info("control machine started", "name", self.Name, "id", self.ID, "listen", o.Listener.Addr().String(),
+		"peers", o.PeerListener.Addr().String(), "newest", node.Machine().Number())
+
+	counts := time.NewTicker(countsEvery)
+	defer counts.Stop()
+	report := &countReport{log: o.Log}
+	for err == nil && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			waitFor(control.publisher.stop(), stopTimeout)
+		case err = <-failed:
+		case <-counts.C:
+			report.tell(received.envelopes(), streams.dropped())
+		}
+	}
+	stop()
+	<-owner.ended
+	brokers.Stop()
+	members.Stop()
+	if err != nil {
+		return fmt.Errorf("control machine %s stops: %w", self.Name, err)
+	}
+	o.Log.Info("control machine ended", "name", self.Name)
+	return nil
+}
+
+func waitFor(done <-chan struct{}, most time.Duration) {
+	select {
+	case <-done:
+	case <-time.After(most):
+	}
+}
+
+func ids(members []Member) (list []uint64) {
+	for _, m := range members {
+		list = append(list, m.ID)
+	}
+	return list
+}
+
+// newBrokerServer serves brokers and operators.
+func newBrokerServer(control *service) *grpc.Server {
+	server := grpc.NewServer(confighub.ServerOptions()...)
+	configpb.RegisterControlServer(server, control)
+	return server
+}
+
+// newPeerServer serves the other members: messages of the log, and publications that they send on.
+func newPeerServer(control *service, received *receiver) *grpc.Server {
+	server := grpc.NewServer(
+		grpc.MaxRecvMsgSize(maxPeerMessageBytes),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: leastPing, PermitWithoutStream: true}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingAfter, Timeout: pingTimeout}),
+	)
+	configpb.RegisterControlServer(server, control)
+	configpb.RegisterConsensusServer(server, received)
+	return server
+}
+
+// countReport logs what peers sent in vain and what could not be sent, where that has changed.
+type countReport struct {
+	log       *slog.Logger
+	envelopes EnvelopeCounts
+	dropped   uint64
+}
+
+func (r *countReport) tell(envelopes EnvelopeCounts, dropped uint64) {
+	before := r.envelopes
+	r.envelopes = envelopes
+	bad := EnvelopeCounts{Foreign: envelopes.Foreign - before.Foreign, Oversized: envelopes.Oversized - before.Oversized,
+		Unreadable: envelopes.Unreadable - before.Unreadable}
+	if bad != (EnvelopeCounts{}) {
+		r.log.Warn("messages of control machines dropped", "foreign", bad.Foreign, "oversized", bad.Oversized,
+			"unreadable", bad.Unreadable)
+	}
+	if dropped > r.dropped {
+		r.log.Warn("messages to control machines dropped: a peer does not take them", "count", dropped-r.dropped)
+	}
+	r.dropped = dropped
+}
--- a/internal/controlserver/transport.go
+++ b/internal/controlserver/transport.go
@@ -13,10 +13,9 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
-	"google.golang.org/protobuf/proto"
 
 	"mothrouter/internal/configpb"
-	"mothrouter/internal/plane"
+	"mothrouter/internal/consensus"
 )
 
 const (
@@ -43,20 +42,12 @@
 	conn   *grpc.ClientConn
 }
 
-// peerEvent is what became of messages to a peer, for the consensus node.
-type peerEvent struct {
-	id       uint64
-	snapshot bool // what was sent was a snapshot
-	failed   bool
-}
-
 // transport sends messages of the replicated log to the other control machines: one stream for each.
 type transport struct {
-	fleet  uint64 // fingerprint
-	self   uint64
-	log    *slog.Logger
-	peers  map[uint64]*peer
-	events chan<- peerEvent // taken by the goroutine that owns the consensus node
+	fleet uint64 // fingerprint
+	self  uint64
+	log   *slog.Logger
+	peers map[uint64]*peer
 
 	cancel context.CancelFunc
 	ended  sync.WaitGroup
@@ -69,12 +60,9 @@
 }
 
 // newTransport starts sending to the peers. It has to be closed.
-func newTransport(fleet string, self uint64, peers []peerAddress, events chan<- peerEvent, log *slog.Logger) (
-	*transport, error) {
+func newTransport(fleet, self uint64, peers []peerAddress, log *slog.Logger) (*transport, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	t := &transport{
-		fleet: plane.Fleet(fleet), self: self, log: log, peers: map[uint64]*peer{}, events: events, cancel: cancel,
-	}
+	t := &transport{fleet: fleet, self: self, log: log, peers: map[uint64]*peer{}, cancel: cancel}
 	for _, p := range peers {
 		conn, err := dial(p.address)
 		if err != nil {
@@ -116,18 +104,17 @@
 	t.ended.Wait()
 }
 
-// send queues a message for its receiver, without waiting. It tells whether a snapshot to that peer was dropped: the
-// consensus node has to know. A message to a machine that is no peer is dropped.
-func (t *transport) send(message *raftpb.Message) (snapshotDropped bool) {
+// send queues a message for its receiver, without waiting. A message to a machine that is no peer is dropped.
+func (t *transport) send(message *raftpb.Message) {
 	p := t.peers[message.GetTo()]
 	if p == nil {
-		return false
+		return
 	}
-	data, err := proto.Marshal(message)
+	data, err := consensus.EncodeMessage(message)
 	if err != nil {
 		panic(fmt.Sprintf("controlserver: a message that cannot be encoded: %v", err))
 	}
-	return p.outbox.put(outgoing{data: data, snapshot: message.GetType() == raftpb.MessageType_MsgSnap})
+	p.outbox.put(data)
 }
 
 // run keeps a stream to a peer open until the context ends.
@@ -139,7 +126,6 @@
 		if ctx.Err() != nil {
 			return
 		}
-		t.tell(ctx, peerEvent{id: p.id, failed: true})
 		t.log.Warn("stream to a control machine ended", "peer", p.id, "err", err)
 		if time.Since(began) > aliveFor {
 			wait = reconnectFirst
@@ -177,23 +163,12 @@
 				return ctx.Err()
 			}
 		}
-		err := stream.Send(&configpb.Envelope{Fleet: t.fleet, From: t.self, Message: message.data})
-		if message.snapshot {
-			t.tell(ctx, peerEvent{id: p.id, snapshot: true, failed: err != nil})
-		}
-		if err != nil {
+		if err := stream.Send(&configpb.Envelope{Fleet: t.fleet, From: t.self, Message: message}); err != nil {
 			return err
 		}
 	}
 }
 
-func (t *transport) tell(ctx context.Context, event peerEvent) {
-	select {
-	case t.events <- event:
-	case <-ctx.Done():
-	}
-}
-
 // dropped returns how many messages were dropped because their peer did not take them in time.
 func (t *transport) dropped() (count uint64) {
 	for _, p := range t.peers {
