--- /dev/null
+++ b/cmd/mothrouter/config_command.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"mothrouter/internal/configpb"
+	"mothrouter/internal/configstatus"
+	"mothrouter/internal/controlclient"
+)
+
+// Statuses of `mothrouter config publish` beside 0 (committed) and 1 (refused, or surely not taken).
+const exitUnknown = 3 // nobody knows whether it is committed
+
+// configCommand is `mothrouter config`: what operators do with the configuration of all brokers.
+func configCommand() *cobra.Command {
+	c := &cobra.Command{Use: "config", Short: "Publish the configuration of all brokers, and see where it is in force"}
+	c.AddCommand(publishCommand(), statusCommand(), showCommand())
+	return c
+}
+
+func publishCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use: "publish FILE", Short: "Publish a document as the newest revision", Args: cobra.ExactArgs(1),
+		Long: "Publish a document as the newest revision. It ends with status 0 once the document is committed, with 1 if\n" +
+			"it was refused or surely not taken, and with 3 if nobody knows: then run it again with --request.",
+	}
+	addresses := addressesFlag(c)
+	expect := c.Flags().Uint64("expect", 0, "refuse unless the newest revision is this `number`; 0: whichever it is")
+	request := c.Flags().String("request", "", "`id` of an earlier try, as it was printed; the same document may be tried again")
+	timeout := c.Flags().Duration("timeout", 30*time.Second, "give up after so long")
+	c.RunE = func(c *cobra.Command, args []string) error {
+		document, err := os.ReadFile(args[0])
+		if err != nil {
+			return err
+		}
+		id, err := requestID(*request)
+		if err != nil {
+			return err
+		}
+		ctx, cancel := context.WithTimeout(c.Context(), *timeout)
+		defer cancel()
+		number, err := controlclient.Publish(ctx, *addresses,
+			&configpb.PublishRequest{Document: document, Expected: *expect, Request: id})
+		if err == nil {
+			fmt.Fprintf(c.OutOrStdout(), "committed as %d\n", number)
+			return nil
+		}
+		if u := (*controlclient.UnknownError)(nil); errors.As(err, &u) {
+			return exitError{fmt.Errorf("unknown: the log may still take it (%w); run again with --request %016x", err, id),
+				exitUnknown}
+		}
+		return err
+	}
+	return c
+}
+
+// requestID reads the id of an earlier try, or draws a new one.
+func requestID(text string) (uint64, error) {
+	if text == "" {
+		return max(rand.Uint64(), 1), nil
+	}
+	id, err := strconv.ParseUint(text, 16, 64)
+	if err != nil || id == 0 {
+		return 0, fmt.Errorf("--request: %q is not an id that was printed", text)
+	}
+	return id, nil
+}
+
+func statusCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use: "status", Short: "Ask all control machines, and show where which revision is in force", Args: cobra.NoArgs,
+	}
+	addresses := addressesFlag(c)
+	asJSON := c.Flags().Bool("json", false, "write all of it as JSON")
+	timeout := c.Flags().Duration("timeout", 3*time.Second, "wait so long for each machine")
+	revisions := c.Flags().Int("revisions", 10, "list so many revisions in the table")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		view := configstatus.Merge(askAll(c.Context(), *addresses, *timeout))
+		if !*asJSON {
+			if err := view.Write(c.OutOrStdout(), time.Now(), *revisions); err != nil {
+				return err
+			}
+		} else {
+			out := json.NewEncoder(c.OutOrStdout())
+			out.SetIndent("", "  ")
+			if err := out.Encode(view); err != nil {
+				return err
+			}
+		}
+		for _, m := range view.Machines {
+			if m.Answered {
+				return nil
+			}
+		}
+		return errors.New("no control machine answers")
+	}
+	return c
+}
+
+// askAll asks all control machines at once.
+func askAll(ctx context.Context, addresses []string, timeout time.Duration) []configstatus.Answer {
+	answers := make([]configstatus.Answer, len(addresses))
+	var asked sync.WaitGroup
+	for i, address := range addresses {
+		asked.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, timeout)
+			defer cancel()
+			status, err := controlclient.Status(ctx, address)
+			answers[i] = configstatus.Answer{Address: address, Status: status, Err: err}
+		})
+	}
+	asked.Wait()
+	return answers
+}
+
+func showCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use: "show [N]", Short: "Write the document of revision N, or of the newest", Args: cobra.MaximumNArgs(1),
+	}
+	addresses := addressesFlag(c)
+	timeout := c.Flags().Duration("timeout", 10*time.Second, "give up after so long")
+	c.RunE = func(c *cobra.Command, args []string) error {
+		number := uint64(0)
+		if len(args) > 0 {
+			n, err := strconv.ParseUint(args[0], 10, 64)
+			if err != nil || n == 0 {
+				return fmt.Errorf("%q is no number of a revision", args[0])
+			}
+			number = n
+		}
+		ctx, cancel := context.WithTimeout(c.Context(), *timeout)
+		defer cancel()
+		revision, err := controlclient.Get(ctx, *addresses, number)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(c.ErrOrStderr(), "revision %d, published %s, checksum %016x\n", revision.GetNumber(),
+			time.UnixMilli(revision.GetPublishedUnixMs()).UTC().Format(time.RFC3339Nano), revision.GetChecksum())
+		_, err = c.OutOrStdout().Write(revision.GetDocument())
+		return err
+	}
+	return c
+}
--- /dev/null
+++ b/cmd/mothrouter/control.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"mothrouter/internal/config"
+	"mothrouter/internal/configpb"
+	"mothrouter/internal/controlserver"
+)
+
+// controlCommand is `mothrouter control`: it runs a control machine in the foreground.
+func controlCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use: "control FILE", Short: "Run a control machine, as FILE tells, such as deploy/control.toml",
+		Args: cobra.ExactArgs(1),
+	}
+	create := c.Flags().Bool("create", false,
+		"make a new log; only once, for a new fleet of control machines: the folder must have none")
+	c.RunE = func(_ *cobra.Command, args []string) error {
+		file, err := config.LoadControl(args[0])
+		if err != nil {
+			return err
+		}
+		ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+		defer cancel()
+		return runControl(ctx, file, *create)
+	}
+	return c
+}
+
+func runControl(ctx context.Context, file *config.ControlMachine, create bool) error {
+	brokers, err := listenTCP("control.listen", file.Listen)
+	if err != nil {
+		return err
+	}
+	peers, err := listenTCP("control.listen_peers", file.ListenPeers)
+	if err != nil {
+		brokers.Close()
+		return err
+	}
+	options := controlserver.Options{
+		Fleet: file.Fleet, Name: file.Name, Folder: file.Folder, Create: create, PromoteAfter: file.PromoteAfter,
+		Listener: brokers, PeerListener: peers, Validate: validateDocument,
+		Log: slog.New(slog.NewTextHandler(os.Stderr, nil)).With("control", file.Name),
+	}
+	for _, m := range file.Members {
+		options.Members = append(options.Members, controlserver.Member{
+			Name: m.Name, ID: m.ID, Address: m.Address.String(), PeerAddress: m.PeerAddress.String(), Voter: m.Voter,
+		})
+	}
+	return controlserver.Run(ctx, options)
+}
+
+func listenTCP(key string, address netip.AddrPort) (net.Listener, error) {
+	l, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", key, err)
+	}
+	return l, nil
+}
+
+// validateDocument checks a document and compares it with the newest revision's.
+func validateDocument(document, _ []byte) *configpb.Refusal {
+	if !json.Valid(document) {
+		return &configpb.Refusal{Key: "document", Reason: "is no JSON"}
+	}
+	return nil
+}
--- a/cmd/mothrouter/main.go
+++ b/cmd/mothrouter/main.go
@@ -44,12 +44,8 @@
 	coresFile := flag.String("cores", "", "`file` that switches several cores on, such as deploy/cores.toml")
 	fleetFile := flag.String("fleet", "", "`file` that has brokers know of each other, such as deploy/fleet.toml")
 	stateFile := flag.String("state", "", "`file` that has learned state last over restarts, such as deploy/state.toml")
-	if len(os.Args) > 1 && os.Args[1] == "state" {
-		if err := stateCommand().Execute(); err != nil {
-			fmt.Fprintln(os.Stderr, "mothrouter:", err)
-			os.Exit(1)
-		}
-		return
+	if isCommand(os.Args) {
+		os.Exit(runCommand())
 	}
 	flag.Parse()
 	if flag.NArg() > 0 {
--- a/internal/controlserver/publish.go
+++ b/internal/controlserver/publish.go
@@ -27,12 +27,6 @@
 	// forwardedKey marks a publication that another control machine has sent on: it is not sent on again.
 	forwardedKey = "mothrouter-forwarded"
 
-	// NotTaken is the reason of an errdetails.ErrorInfo in the details of UNAVAILABLE: this publication was surely not
-	// appended to the log. Without it nobody knows.
-	NotTaken = "NOT_TAKEN"
-	// ErrorDomain is the domain of that ErrorInfo.
-	ErrorDomain = "mothrouter.config"
-
 	// Keys of refusals that name no part of the document.
 	keyDocument = "document"
 	keyRequest  = "request"
@@ -263,7 +257,7 @@
 
 func notTaken(format string, arguments ...any) error {
 	return withDetails(status.Newf(codes.Unavailable, format, arguments...),
-		&errdetails.ErrorInfo{Reason: NotTaken, Domain: ErrorDomain})
+		&errdetails.ErrorInfo{Reason: configpb.NotTaken, Domain: configpb.ErrorDomain})
 }
 
 func unknown(err error) error {
