--- /dev/null
+++ b/internal/controlrig/network_test.go
@@ -0,0 +1,71 @@
+package controlrig_test
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mothrouter/internal/controlrig"
+)
+
+// echo connects to a server that sends back what it gets, through a relay from "here" to "there".
+func echo(t *testing.T) (*controlrig.Network, net.Conn) {
+	server, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() {
+		for {
+			conn, err := server.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				io.Copy(conn, conn)
+			}()
+		}
+	}()
+	network := controlrig.NewNetwork()
+	address, err := network.Relay("here", "there", server.Addr().String())
+	require.NoError(t, err)
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		conn.Close()
+		server.Close()
+		network.Close()
+	})
+	return network, conn
+}
+
+func exchange(t *testing.T, conn net.Conn, within time.Duration) error {
+	_, err := conn.Write([]byte("x"))
+	require.NoError(t, err)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(within)))
+	_, err = conn.Read(make([]byte, 1))
+	return err
+}
+
+func TestRelayCutsEachDirectionAndKeepsWhatWasSent(t *testing.T) {
+	for _, pair := range [][2]string{{"here", "there"}, {"there", "here"}} {
+		network, conn := echo(t)
+		require.NoError(t, exchange(t, conn, 2*time.Second))
+		network.Set(pair[0], pair[1], controlrig.Fault{Cut: true})
+		require.Error(t, exchange(t, conn, 100*time.Millisecond))
+		network.Set(pair[0], pair[1], controlrig.Fault{})
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(2*time.Second)))
+		_, err := conn.Read(make([]byte, 1))
+		require.NoError(t, err)
+	}
+}
+
+func TestRelayDelaysADirection(t *testing.T) {
+	network, conn := echo(t)
+	require.NoError(t, exchange(t, conn, 2*time.Second))
+	network.Set("there", "here", controlrig.Fault{Delay: 200 * time.Millisecond})
+	began := time.Now()
+	require.NoError(t, exchange(t, conn, 2*time.Second))
+	require.GreaterOrEqual(t, time.Since(began), 200*time.Millisecond)
+}
--- /dev/null
+++ b/internal/controlrig/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package controlrig_test
+
+func init() { buildFlags = []string{"-race"} }
--- /dev/null
+++ b/internal/controlrig/rig_test.go
@@ -0,0 +1,247 @@
+package controlrig_test
+
+import (
+	"context"
+	"flag"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mothrouter/internal/controlclient"
+	"mothrouter/internal/controlrig"
+)
+
+var (
+	rounds = flag.Int("rounds", 1, "play the faults of each test so often")
+	seed   = flag.Uint64("seed", 1, "of the moments of kills")
+
+	program    string
+	buildFlags []string // with the race detector on here, the program has it too
+)
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "controlrig")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "mothrouter")
+	build := append(append([]string{"build"}, buildFlags...), "-o", program, "mothrouter/cmd/mothrouter")
+	if out, err := exec.Command("go", build...).CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+const (
+	patience     = 20 * time.Second       // for what must come
+	publishEvery = 150 * time.Millisecond // between two publications
+	followers    = 2                      // of a region
+)
+
+// start starts a rig whose machines have a leader.
+func start(t *testing.T, options controlrig.Options) *controlrig.Rig {
+	t.Parallel()
+	options.Program, options.Folder = program, t.TempDir()
+	rig, err := controlrig.New(options)
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		rig.Close()
+		for _, m := range rig.Machines {
+			require.NotContains(t, m.Log(), "DATA RACE")
+			if t.Failed() {
+				t.Logf("%s:\n%s", m.Name, m.Log())
+			}
+		}
+	})
+	require.NoError(t, rig.Follow(followers))
+	waitForLeader(t, rig)
+	return rig
+}
+
+func waitForLeader(t *testing.T, rig *controlrig.Rig) *controlrig.Machine {
+	var leader *controlrig.Machine
+	require.Eventually(t, func() bool {
+		leader = rig.Leader(t.Context())
+		return leader != nil
+	}, patience, 50*time.Millisecond, "no leader")
+	return leader
+}
+
+// publishing publishes one document after the other until the function that it returns is called.
+func publishing(t *testing.T, rig *controlrig.Rig, addresses []string) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() {
+		for ctx.Err() == nil {
+			ctx, cancel := context.WithTimeout(ctx, patience/2)
+			rig.Publish(ctx, addresses) // booked; that it is late or has no answer is for the checkers
+			cancel()
+			time.Sleep(publishEvery)
+		}
+	})
+	return func() {
+		cancel()
+		running.Wait()
+	}
+}
+
+// acknowledged counts the publications that were acknowledged so far.
+func acknowledged(rig *controlrig.Rig) (count int) {
+	for _, p := range rig.History().Publications {
+		if p.Number != 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// waitForMore waits until so many more publications are acknowledged.
+func waitForMore(t *testing.T, rig *controlrig.Rig, more int) {
+	want := acknowledged(rig) + more
+	require.Eventually(t, func() bool { return acknowledged(rig) >= want }, patience, 10*time.Millisecond,
+		"publications are not acknowledged any more")
+}
+
+// finish publishes once more, waits until that is everywhere, and checks the whole history.
+func finish(t *testing.T, rig *controlrig.Rig) {
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	newest, err := rig.Publish(ctx, rig.Addresses())
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		least, _ := rig.Least()
+		return least >= newest
+	}, patience, 20*time.Millisecond, "the last revision is not in force everywhere")
+	for _, m := range rig.Machines {
+		require.Eventually(t, func() bool {
+			status, err := controlclient.Status(ctx, m.Address)
+			return err == nil && status.GetNewest() >= newest
+		}, patience, 20*time.Millisecond, "%s lacks the last revision", m.Name)
+	}
+	require.NoError(t, rig.Read(ctx, newest))
+	history := rig.History()
+	require.Empty(t, texts(history.Check(inForceWithin)))
+	t.Logf("%d publications, %d acknowledged, newest %d, %d applications at %d followers", len(history.Publications),
+		acknowledged(rig), newest, len(history.Applied), len(history.Followers))
+}
+
+func TestKillsPausesAndRestarts(t *testing.T) {
+	rig := start(t, controlrig.Options{PromoteAfter: time.Minute, Seed: *seed})
+	stop := publishing(t, rig, rig.Addresses())
+	for range *rounds {
+		waitForMore(t, rig, 3)
+
+		leader := waitForLeader(t, rig)
+		leader.Kill()
+		waitForMore(t, rig, 3)
+		require.NoError(t, leader.Start())
+
+		leader = waitForLeader(t, rig)
+		leader.Pause()
+		waitForMore(t, rig, 3)
+		leader.Continue()
+		waitForMore(t, rig, 3)
+
+		leader = waitForLeader(t, rig)
+		require.Zero(t, leader.End(), "exit status")
+		require.NoError(t, leader.Start())
+		waitForMore(t, rig, 3)
+	}
+	stop()
+	finish(t, rig)
+}
+
+// A machine is killed at any moment while revisions are written, time and again. Its log is whole each time, and what
+// was acknowledged is in it.
+func TestKillsInMidWrite(t *testing.T) {
+	const kills, upMost = 6, 400 * time.Millisecond
+	rig := start(t, controlrig.Options{PromoteAfter: time.Minute, Seed: *seed})
+	var stops []func()
+	for range 4 { // publications overlap, so that something is always being written
+		stops = append(stops, publishing(t, rig, rig.Addresses()))
+	}
+	rng := rand.New(rand.NewPCG(*seed, 0xa54ff53a5f1d36f1))
+	for i := range kills * *rounds {
+		m := rig.Machines[i%len(rig.Machines)]
+		time.Sleep(time.Duration(rng.Int64N(int64(upMost))))
+		m.Kill()
+		require.NoError(t, m.Start())
+		require.Eventually(t, func() bool {
+			_, err := controlclient.Status(t.Context(), m.Address)
+			return err == nil
+		}, patience, 20*time.Millisecond, "%s does not come back", m.Name)
+	}
+	waitForMore(t, rig, 3)
+	for _, stop := range stops {
+		stop()
+	}
+	finish(t, rig)
+}
+
+// A region with the leader is cut off from all others. The others go on, its followers serve by what they have and
+// know that they may be behind, and have the newest in time once it is mended.
+func TestCutRegion(t *testing.T) {
+	rig := start(t, controlrig.Options{PromoteAfter: time.Minute, Seed: *seed})
+	for range *rounds {
+		leader := waitForLeader(t, rig)
+		var outside []string
+		for _, m := range rig.Machines {
+			if m.Region != leader.Region {
+				outside = append(outside, m.Address)
+			}
+		}
+		stop := publishing(t, rig, outside)
+		waitForMore(t, rig, 3)
+		from := time.Now()
+		rig.CutRegion(leader.Region, true)
+		waitForMore(t, rig, 10)
+
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		_, err := rig.Publish(ctx, []string{leader.Address})
+		cancel()
+		require.Error(t, err, "a machine without a quorum acknowledged a publication")
+
+		rig.CutRegion(leader.Region, false)
+		rig.Excuse(leader.Region, from, time.Now())
+		waitForMore(t, rig, 3)
+		stop()
+	}
+	finish(t, rig)
+}
+
+// A voter that stays away is replaced by the spare: after that one more voter may be lost.
+func TestSpareTakesThePlaceOfALostVoter(t *testing.T) {
+	const promoteAfter = 5 * time.Second
+	rig := start(t, controlrig.Options{PromoteAfter: promoteAfter, Seed: *seed})
+	stop := publishing(t, rig, rig.Addresses())
+	lost := rig.Machine("b")
+	lost.Kill()
+	require.Eventually(t, func() bool {
+		status, err := controlclient.Status(t.Context(), rig.Machine("d").Address)
+		if err != nil {
+			return false
+		}
+		for _, m := range status.GetMembers() {
+			if m.GetName() == "d" && m.GetVoter() {
+				return true
+			}
+		}
+		return false
+	}, patience, 50*time.Millisecond, "the spare is no voter")
+	second := rig.Machine("c")
+	second.Kill()
+	waitForMore(t, rig, 3)
+	require.NoError(t, second.Start())
+	require.NoError(t, lost.Start())
+	waitForMore(t, rig, 3)
+	stop()
+	finish(t, rig)
+}
