--- a/internal/controlrig/controlrig.go
+++ b/internal/controlrig/controlrig.go
@@ -4,6 +4,7 @@
 package controlrig
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"os"
@@ -44,6 +45,7 @@
 	history   History
 	followers []*follower
 	documents atomic.Uint64
+	padding   atomic.Int64
 }
 
 // subnets counts the rigs of this process: each has a loopback network of its own, and so have processes side by side.
@@ -140,10 +142,14 @@
 	return nil
 }
 
+// Pad makes the documents to come so many bytes larger.
+func (r *Rig) Pad(bytes int64) { r.padding.Store(bytes) }
+
 // Publish publishes a new document at any of the addresses, and books it.
 func (r *Rig) Publish(ctx context.Context, addresses []string) (number uint64, err error) {
 	n := r.documents.Add(1)
 	document := fmt.Appendf(nil, documentForm, 100+n%1_000_000, float64(n%900)/1000+0.1)
+	document = append(document, bytes.Repeat([]byte(" "), int(r.padding.Load()))...)
 	p := Publication{Request: r.options.Seed<<32 + n, Checksum: revision.Checksum(document), Began: time.Now()}
 	p.Number, err = controlclient.Publish(ctx, addresses,
 		&configpb.PublishRequest{Document: document, Request: p.Request})
--- a/internal/controlserver/replica.go
+++ b/internal/controlserver/replica.go
@@ -45,6 +45,7 @@
 	node     *consensus.Node
 	storage  storage
 	send     func(*raftpb.Message) // must not wait
+	nameOf   func(id uint64) string
 	hub      *confighub.Hub
 	log      *slog.Logger
 	interval time.Duration // between ticks
@@ -185,7 +186,11 @@
 func (r *replica) tellLeader() {
 	if leader := r.node.Leader(); leader != r.leader {
 		r.leader = leader
-		r.log.Info("leader", "id", leader)
+		if leader == 0 {
+			r.log.Warn("no leader is known")
+			return
+		}
+		r.log.Info("a leader is known", "leader", r.nameOf(leader))
 	}
 }
 
--- a/internal/controlserver/server.go
+++ b/internal/controlserver/server.go
@@ -92,7 +92,7 @@
 		if m.Name == o.Name {
 			self = m
 		} else {
-			peers = append(peers, peerAddress{id: m.ID, address: m.PeerAddress})
+			peers = append(peers, peerAddress{id: m.ID, name: m.Name, address: m.PeerAddress})
 		}
 	}
 	if self.ID == 0 {
@@ -151,6 +151,7 @@
 	hub := confighub.New(o.Log)
 	owner := newReplica(node, log, hub, o.Log)
 	owner.send = streams.send
+	owner.nameOf = func(id uint64) string { return findMember(o.Members, id).Name }
 	received := newReceiver(fleet, self.ID, peers, owner.deliver)
 	control := &service{
 		publisher: newPublisher(self.ID, owner, o.Validate),
@@ -189,7 +190,8 @@
 	brokers.Stop()
 	members.Stop()
 	if err != nil {
-		return fmt.Errorf("control machine %s stops: %w", self.Name, err)
+		return fmt.Errorf("control machine %s stops, with its log at %s: %w", self.Name,
+			filepath.Join(o.Folder, LogName), err)
 	}
 	o.Log.Info("control machine ended", "name", self.Name)
 	return nil
--- a/internal/controlserver/transport.go
+++ b/internal/controlserver/transport.go
@@ -37,7 +37,7 @@
 
 // peer is another control machine.
 type peer struct {
-	id     uint64
+	name   string
 	outbox *outbox
 	conn   *grpc.ClientConn
 }
@@ -56,6 +56,7 @@
 // peerAddress is where another control machine is reached.
 type peerAddress struct {
 	id      uint64
+	name    string
 	address string // host:port
 }
 
@@ -67,9 +68,9 @@
 		conn, err := dial(p.address)
 		if err != nil {
 			t.close()
-			return nil, fmt.Errorf("control machine %d at %s: %w", p.id, p.address, err)
+			return nil, fmt.Errorf("control machine %s at %s: %w", p.name, p.address, err)
 		}
-		t.peers[p.id] = &peer{id: p.id, outbox: newOutbox(), conn: conn}
+		t.peers[p.id] = &peer{name: p.name, outbox: newOutbox(), conn: conn}
 	}
 	for _, p := range t.peers {
 		t.ended.Add(1)
@@ -126,7 +127,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		t.log.Warn("stream to a control machine ended", "peer", p.id, "err", err)
+		t.log.Warn("stream to a control machine ended", "peer", p.name, "err", err)
 		if time.Since(began) > aliveFor {
 			wait = reconnectFirst
 		}
@@ -146,10 +147,19 @@
 	if err != nil {
 		return err
 	}
-	go func() { // a stream that the peer ends says so here, also while there is nothing to send
-		stream.RecvMsg(&configpb.Received{})
+	why := make(chan error, 1)
+	go func() { // a stream that ends says so here, also while there is nothing to send
+		why <- stream.RecvMsg(&configpb.Received{})
 		cancel()
 	}()
+	t.feed(ctx, p, stream)
+	cancel()
+	return <-why
+}
+
+// feed sends what the outbox holds until the stream or the context ends.
+func (t *transport) feed(ctx context.Context, p *peer,
+	stream grpc.ClientStreamingClient[configpb.Envelope, configpb.Received]) {
 	alive := time.NewTicker(sayAlive)
 	defer alive.Stop()
 	for {
@@ -160,11 +170,11 @@
 				continue
 			case <-alive.C: // an envelope without a message
 			case <-ctx.Done():
-				return ctx.Err()
+				return
 			}
 		}
-		if err := stream.Send(&configpb.Envelope{Fleet: t.fleet, From: t.self, Message: message}); err != nil {
-			return err
+		if stream.Send(&configpb.Envelope{Fleet: t.fleet, From: t.self, Message: message}) != nil {
+			return
 		}
 	}
 }
--- a/internal/raftlog/raftlog.go
+++ b/internal/raftlog/raftlog.go
@@ -21,6 +21,7 @@
 	"os"
 	"path/filepath"
 	"runtime/debug"
+	"strings"
 	"syscall"
 
 	bolt "go.etcd.io/bbolt"
@@ -242,10 +243,14 @@
 
 // diskError wraps ErrFull around the errors of a disk or file that can take no more.
 func diskError(err error) error {
-	full := errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) || errors.Is(err, syscall.EFBIG) ||
-		errors.Is(err, berrors.ErrMaxSizeReached)
-	if full {
-		return fmt.Errorf("%w: %w", ErrFull, err)
+	if err == nil {
+		return nil
+	}
+	for _, full := range []error{syscall.ENOSPC, syscall.EDQUOT, syscall.EFBIG, berrors.ErrMaxSizeReached} {
+		// bbolt does not wrap the error of growing the file, it only writes it out.
+		if errors.Is(err, full) || strings.HasSuffix(err.Error(), full.Error()) {
+			return fmt.Errorf("%w: %w", ErrFull, err)
+		}
 	}
 	return err
 }
