--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -68,7 +68,7 @@
 	if report.GetName() == "" || !validText(report.GetName(), maxName) || !validText(report.GetZone(), maxName) {
 		return false
 	}
-	if report.GetStartedUnixMs() <= 0 {
+	if report.GetStartedUnixMs() <= 0 || report.GetSequence() == 0 {
 		return false
 	}
 	refusal := report.GetRefusal()
--- a/internal/distribution/follower.go
+++ b/internal/distribution/follower.go
@@ -29,6 +29,8 @@
 	// long, and every 5 to 10 min later: about ten times in an hour.
 	reconsiderFirst = 30 * time.Second
 	reconsiderMost  = 5 * time.Minute
+	// How many reports of a stream are remembered, for the updates that answer them.
+	recentReports = 16
 	// A follower that is woken so much later than it asked was paused: what its stream brought waits to be read.
 	pauseSlack = 500 * time.Millisecond
 )
@@ -87,10 +89,12 @@
 
 	stream     StreamID // the present one; 0: none
 	lastStream StreamID
-	opened     time.Time // when the present stream was
-	heard      time.Time // last update of the present stream; zero: none yet
-	grace      time.Time // the present stream is not left before; zero: no such time
-	reported   time.Time // last report on the present stream
+	opened     time.Time                // when the present stream was
+	heard      time.Time                // last update of the present stream; zero: none yet
+	grace      time.Time                // the present stream is not left before; zero: no such time
+	reported   time.Time                // last report on the present stream
+	sequence   uint64                   // of that report
+	reports    [recentReports]time.Time // when each was handed out, by sequence
 
 	revisions revisions
 	newest    uint64    // the highest that was told
@@ -183,7 +187,7 @@
 	}
 	if f.report && f.stream != 0 {
 		f.report = false
-		f.reported = now
+		f.noteReport(now)
 		ready.Report = f.currentReport()
 	}
 	ready.Apply = f.revisions.handOut()
@@ -218,7 +222,7 @@
 	f.lastStream++
 	f.stream, f.toOpen, f.chosen = f.lastStream, true, false
 	f.opened, f.heard, f.grace = now, time.Time{}, time.Time{}
-	f.reported, f.report = now, true
+	f.reported, f.report, f.sequence = now, true, 0
 	f.counts.Opened++
 }
 
--- a/internal/distribution/follower_receive.go
+++ b/internal/distribution/follower_receive.go
@@ -44,13 +44,15 @@
 	if update.GetRevision() != nil {
 		f.takeRevision(update.GetRevision())
 	}
-	f.checkConflict(update)
+	if f.conflicts(update) {
+		f.counts.Conflicts++
+	}
 	f.takeConfirmation(now, update)
 }
 
 // wellFormed tells whether an update is whole, and counts it otherwise.
 func (f *Follower) wellFormed(update *configpb.Update) bool {
-	if update == nil || update.GetNewest() == 0 && update.GetNewestChecksum() != 0 {
+	if update == nil || update.GetNewest() == 0 && update.GetNewestChecksum() != 0 || !f.answersReport(update) {
 		f.counts.Malformed++
 		return false
 	}
@@ -77,6 +79,11 @@
 	return true
 }
 
+// answersReport tells whether an update names a report of the present stream.
+func (f *Follower) answersReport(update *configpb.Update) bool {
+	return update.GetReport() > 0 && update.GetReport() <= f.sequence
+}
+
 // takeRevision accepts a whole revision if its number is above the one in hand.
 func (f *Follower) takeRevision(revision *configpb.Revision) {
 	r := &f.revisions
@@ -93,40 +100,34 @@
 	}
 }
 
-// checkConflict counts an update that names another content for the revision in hand.
-func (f *Follower) checkConflict(update *configpb.Update) {
+// conflicts tells whether an update names another content for the revision in hand.
+func (f *Follower) conflicts(update *configpb.Update) bool {
 	r := &f.revisions
-	if r.inHand != 0 && update.GetNewest() == r.inHand && update.GetNewestChecksum() != r.checksum {
-		f.counts.Conflicts++
-	}
+	return r.inHand != 0 && update.GetNewest() == r.inHand && update.GetNewestChecksum() != r.checksum
 }
 
 // takeConfirmation notes when a quorum last confirmed the present machine. One that lacks the revision in hand, or has
-// another content for it, has as long to catch up as an unconfirmed one.
+// another content for it, has as long to catch up as an unconfirmed one. The age counts from when the update was sent
+// at the earliest: it may have been held up by the network or by a pause of this process.
 func (f *Follower) takeConfirmation(now time.Time, update *configpb.Update) {
 	m := &f.machines[f.machine]
 	m.reached = true
-	r := &f.revisions
-	age := time.Duration(update.GetConfirmedMs()) * time.Millisecond
-	behind := update.GetNewest() < r.inHand
-	conflict := update.GetNewest() == r.inHand && r.inHand != 0 && update.GetNewestChecksum() != r.checksum
+	at := earliest(now, f.sentAt(update)).Add(-time.Duration(update.GetConfirmedMs()) * time.Millisecond)
+	behind := update.GetNewest() < f.revisions.inHand
 	switch {
-	case behind || conflict:
+	case behind || f.conflicts(update):
 		if behind {
 			f.counts.Behind++
 		}
-		m.confirmed = f.opened
-		if at := now.Add(-age); at.Before(m.confirmed) {
-			m.confirmed = at
-		}
+		m.confirmed = earliest(f.opened, at)
 		return
 	case update.GetConfirmedMs() == NeverConfirmed:
 		m.confirmed = time.Time{}
 		return
 	}
-	m.confirmed = now.Add(-age)
+	m.confirmed = at
 	f.confirmed = latest(f.confirmed, m.confirmed)
-	if age <= UnconfirmedLimit {
+	if now.Sub(at) <= UnconfirmedLimit {
 		f.settled, f.interval = false, reconsiderFirst
 		f.machines.newRound()
 	}
--- a/internal/distribution/follower_status.go
+++ b/internal/distribution/follower_status.go
@@ -56,5 +56,23 @@
 		InForce:            f.revisions.inForce,
 		InForceSinceUnixMs: f.revisions.since.UnixMilli(),
 		Refusal:            f.revisions.refusal,
+		Sequence:           f.sequence,
 	}
 }
+
+// noteReport notes that the next report of the stream is handed out.
+func (f *Follower) noteReport(now time.Time) {
+	f.reported = now
+	f.sequence++
+	f.reports[f.sequence%recentReports] = now
+}
+
+// sentAt returns a time before which an update cannot have been sent: the control machine had the report that the
+// update names for some time, and that report was not sent before it was handed out.
+func (f *Follower) sentAt(update *configpb.Update) time.Time {
+	since := f.opened
+	if sequence := update.GetReport(); sequence+recentReports > f.sequence {
+		since = f.reports[sequence%recentReports]
+	}
+	return since.Add(time.Duration(update.GetReportMs()) * time.Millisecond)
+}
--- a/internal/distribution/hub.go
+++ b/internal/distribution/hub.go
@@ -60,6 +60,7 @@
 	opened     time.Time
 	heard      time.Time // of the last report that was taken; zero: none yet
 	broker     *broker   // nil: before the first report
+	sequence   uint64    // of the last report that was taken
 	superseded bool
 
 	told   time.Time // of the last update; zero: none yet
@@ -187,7 +188,9 @@
 	update = &configpb.Update{
 		Newest:         h.newest.GetNumber(),
 		NewestChecksum: h.newest.GetChecksum(),
-		ConfirmedMs:    h.confirmedMilliseconds(now),
+		ConfirmedMs:    milliseconds(now, h.confirmed),
+		Report:         s.sequence,
+		ReportMs:       milliseconds(now, s.heard),
 	}
 	if send {
 		update.Revision = h.newest
@@ -200,8 +203,7 @@
 // lacks tells whether a session is to be sent the newest revision.
 func (h *Hub) lacks(now time.Time, s *session) bool {
 	newest := h.newest.GetNumber()
-	report := s.broker.report
-	if newest <= max(report.GetInForce(), report.GetRefusal().GetNumber()) {
+	if newest <= tried(s.broker.report) {
 		s.resend = time.Time{}
 		return false
 	}
@@ -226,11 +228,12 @@
 	return s.heard.Add(SessionSilence)
 }
 
-func (h *Hub) confirmedMilliseconds(now time.Time) uint32 {
-	if h.confirmed.IsZero() {
+// milliseconds is how long ago something was; NeverConfirmed: it never was.
+func milliseconds(now, at time.Time) uint32 {
+	if at.IsZero() {
 		return NeverConfirmed
 	}
-	age := max(now.Sub(h.confirmed), 0).Milliseconds()
+	age := max(now.Sub(at), 0).Milliseconds()
 	return uint32(min(age, NeverConfirmed-1))
 }
 
--- a/internal/distribution/hub_report.go
+++ b/internal/distribution/hub_report.go
@@ -31,7 +31,7 @@
 		h.counts.Foreign++
 		return nil
 	}
-	if goesBack(before, report) {
+	if report.GetSequence() <= s.sequence || goesBack(before, report) {
 		h.counts.Older++
 		return nil
 	}
@@ -67,7 +67,7 @@
 // take makes a report the last one of its session's broker.
 func (h *Hub) take(now time.Time, s *session, report *configpb.Report) {
 	h.counts.Taken++
-	s.heard = now
+	s.heard, s.sequence = now, report.GetSequence()
 	s.broker.heard = now
 	s.broker.report = proto.CloneOf(report)
 	h.inForce[report.GetInForce()]++
@@ -94,6 +94,10 @@
 	if report.GetInForce() < before.GetInForce() {
 		return true
 	}
-	tried := func(r *configpb.Report) uint64 { return max(r.GetInForce(), r.GetRefusal().GetNumber()) }
 	return tried(report) < tried(before)
 }
+
+// tried returns the highest revision that a broker has tried to put in force; 0: none.
+func tried(report *configpb.Report) uint64 {
+	return max(report.GetInForce(), report.GetRefusal().GetNumber())
+}
--- a/internal/distribution/hub_status.go
+++ b/internal/distribution/hub_status.go
@@ -63,11 +63,11 @@
 // Status returns what the hub knows. Brokers that were cut off for longer than RememberCutOff are forgotten.
 func (h *Hub) Status(now time.Time) Status {
 	h.forget(now)
-	status := Status{Newest: h.newest.GetNumber(), ConfirmedMS: h.confirmedMilliseconds(now)}
+	status := Status{Newest: h.newest.GetNumber(), ConfirmedMS: milliseconds(now, h.confirmed)}
 	for _, b := range h.brokers {
 		status.Brokers = append(status.Brokers, &configpb.Broker{
 			Report:    proto.CloneOf(b.report),
-			SilentMs:  uint32(min(max(now.Sub(b.heard), 0).Milliseconds(), NeverConfirmed)),
+			SilentMs:  milliseconds(now, b.heard),
 			Connected: b.session != 0,
 		})
 	}
@@ -80,11 +80,12 @@
 	return status
 }
 
-// Lagging returns the names of the connected brokers, in order, that lack a revision for longer than LagLimit.
+// Lagging returns the names of the connected brokers, in order, that have neither put in force nor refused a revision
+// within LagLimit.
 func (h *Hub) Lagging(now time.Time) []string {
 	var names []string
 	for name, b := range h.brokers {
-		if lacked, ok := h.firstLacked(b); ok && b.session != 0 && lags(now, b, lacked) {
+		if untried, ok := h.firstUntried(b); ok && b.session != 0 && lags(now, b, untried) {
 			names = append(names, name)
 		}
 	}
@@ -92,17 +93,17 @@
 	return names
 }
 
-// firstLacked returns the first booked revision that a broker lacks, and whether there is one.
-func (h *Hub) firstLacked(b *broker) (booked, bool) {
+// firstUntried returns the first booked revision that a broker has not tried, and whether there is one.
+func (h *Hub) firstUntried(b *broker) (booked, bool) {
 	for _, x := range h.booked {
-		if x.number > b.report.GetInForce() {
+		if x.number > tried(b.report) {
 			return x, true
 		}
 	}
 	return booked{}, false
 }
 
-// lags tells whether a broker that lacks a revision has had its time for it.
+// lags tells whether a broker that has not tried a revision has had its time for it.
 func lags(now time.Time, b *broker, x booked) bool {
 	since := x.at
 	if b.opened.After(since) {
@@ -121,7 +122,7 @@
 		case b.session == 0:
 		case b.report.GetInForce() >= x.number:
 			result.Brokers++
-		case lags(now, b, x):
+		case tried(b.report) < x.number && lags(now, b, x):
 			result.Lagging++
 		}
 	}
--- /dev/null
+++ b/internal/distribution/network_test.go
@@ -0,0 +1,160 @@
+package distribution_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	simBrokers = flag.Int("brokers", 60, "brokers of the simulations")
+	simSeeds   = flag.Int("seeds", 3, "seeds of the simulations")
+	simFirst   = flag.Uint64("first-seed", 1, "first seed of the simulations")
+)
+
+// requireClean tells what the checkers found, and how to play it again.
+func requireClean(t *testing.T, s *simulation) {
+	t.Helper()
+	for i, f := range s.check.findings {
+		if i < 5 {
+			t.Errorf("%s: %s", f.checker, f.detail)
+		}
+	}
+	if n := len(s.check.findings); n > 0 {
+		t.Fatalf("%d findings; again by -seeds 1 -first-seed %d -brokers %d", n, s.seed, len(s.fleet))
+	}
+}
+
+func eachSeed(t *testing.T, run func(t *testing.T, seed uint64)) {
+	for i := range uint64(*simSeeds) {
+		t.Run(fmt.Sprint("seed=", *simFirst+i), func(t *testing.T) { run(t, *simFirst+i) })
+	}
+}
+
+func playRandomFaults(s *simulation) {
+	const end = 10 * time.Minute
+	s.publishEvery(changesEvery, end)
+	s.playFaults(end - time.Minute)
+	s.runTo(end + time.Minute)
+}
+
+func TestRevisionsAreInForceEverywhereDespiteFaults(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		s := runSimulation(t, simOptions{seed: seed, brokers: *simBrokers, noise: 0.01}, playRandomFaults)
+		s.check.storms()
+		s.check.books()
+		requireClean(t, s)
+		for _, b := range s.fleet {
+			status := b.follower.Status(s.time())
+			require.EqualValues(t, len(s.log), max(status.InForce, status.Refusal.GetNumber()), b.name())
+		}
+		require.NotEmpty(t, s.check.healed)
+		counts := s.check.counts()
+		require.NotZero(t, counts.Torn)
+		require.NotZero(t, counts.Oversized)
+		t.Logf("%d revisions, %d steps, in force after %v at p99 and %v at most; after heals %v at p99, %v at most; %+v",
+			len(s.log), s.steps, percentile(s.check.usual, 0.99), percentile(s.check.usual, 1),
+			percentile(s.check.healed, 0.99), percentile(s.check.healed, 1), counts)
+	})
+}
+
+// playRegionCut cuts the first region, which has the spare, from the others for an hour.
+func playRegionCut(s *simulation) {
+	const from, to = 2 * time.Minute, 62 * time.Minute
+	s.publishEvery(changesEvery, to+2*time.Minute)
+	s.after(from, func() { s.cutRegion(0, to-from) })
+	s.after(from, s.check.faultsChanged)
+	for at := from; at < to; at += 10 * time.Second {
+		s.after(at, s.check.honest)
+	}
+	s.runTo(to - time.Second)
+	s.check.flapping(0, mostStreamsAnHour)
+	for _, b := range s.fleet {
+		status := b.follower.Status(s.time())
+		cut := regionOfZone(b.zone) == 0
+		if cut && (!status.Known || status.Behind < to-from-10*time.Second) {
+			s.check.found("honest", "%s is cut off and says that it is %v behind", b.name(), status.Behind)
+		}
+		if cut && status.Control == "" {
+			s.check.found("flapping", "%s follows no hub though one is in reach", b.name())
+		}
+	}
+	s.runTo(to + 2*time.Minute)
+}
+
+func TestARegionIsCutOffForAnHour(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		s := runSimulation(t, simOptions{seed: seed, brokers: *simBrokers}, playRegionCut)
+		s.check.storms()
+		requireClean(t, s)
+		require.NotZero(t, s.check.replays)
+		t.Logf("%d revisions, %d steps, in force after %v at p99; after the heal %v at p99, %v at most", len(s.log),
+			s.steps, percentile(s.check.usual, 0.99), percentile(s.check.healed, 0.99), percentile(s.check.healed, 1))
+	})
+}
+
+// playStorm starts all brokers at one moment, kills one hub, then all but one, and brings them back.
+func playStorm(s *simulation) {
+	s.publish()
+	for i := range hubs - 1 {
+		s.after(time.Duration(10+20*i)*time.Second, func() { s.stopHub(i, i%2 == 1, 70*time.Second) })
+		s.after(time.Duration(10+20*i)*time.Second, s.check.faultsChanged)
+	}
+	s.runTo(3 * time.Minute)
+}
+
+func TestStartsAndReconnectsAreSpread(t *testing.T) {
+	for _, brokers := range []int{60, 590, 1200} {
+		t.Run(fmt.Sprint("brokers=", brokers), func(t *testing.T) {
+			s := runSimulation(t, simOptions{seed: *simFirst, brokers: brokers}, playStorm)
+			most := s.check.storms()
+			requireClean(t, s)
+			t.Logf("%d calls at one hub within a second at most", most)
+		})
+	}
+}
+
+func TestEqualSeedsPlayEqually(t *testing.T) {
+	run := func(seed uint64) uint64 {
+		return runSimulation(t, simOptions{seed: seed, brokers: 20, noise: 0.01}, playRandomFaults).trace
+	}
+	require.Equal(t, run(7), run(7))
+	require.NotEqual(t, run(7), run(8))
+}
+
+// Each checker finds the fault that is planted for it, and nothing where none is.
+func TestCheckersFindPlantedFaults(t *testing.T) {
+	for _, x := range []struct {
+		plant   plant
+		checker string
+		brokers int
+		play    func(*simulation)
+	}{
+		{plantGoBack, "back", 20, playRandomFaults},
+		{plantTwice, "twice", 20, playRandomFaults},
+		{plantHalf, "half", 20, playRandomFaults},
+		{plantDeafBroker, "late", 20, playRandomFaults},
+		{plantReplay, "replay", 10, playRegionCut},
+		{plantFlapping, "flapping", 10, playRegionCut},
+		{plantBoastfulHub, "honest", 10, playRegionCut},
+		{plantSlowBackHome, "heal", 10, playRegionCut},
+		{plantStorm, "storm", 300, playStorm},
+		{plantUnbooked, "books", 20, playRandomFaults},
+	} {
+		t.Run(x.checker, func(t *testing.T) {
+			for _, plant := range []plant{plantNone, x.plant} {
+				s := runSimulation(t, simOptions{seed: 1, brokers: x.brokers, plant: plant}, x.play)
+				s.check.storms()
+				s.check.books()
+				if plant == plantNone {
+					requireClean(t, s)
+					continue
+				}
+				require.NotZero(t, s.check.names()[x.checker], "%s: not found; found were %v", plant, s.check.names())
+			}
+		})
+	}
+}
