--- /dev/null
+++ b/internal/controlserver/receive_test.go
@@ -0,0 +1,66 @@
+package controlserver
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.etcd.io/raft/v3/raftpb"
+
+	"mothrouter/internal/configpb"
+	"mothrouter/internal/consensus"
+	"mothrouter/internal/plane"
+)
+
+func heartbeat(t *testing.T, from, to uint64) []byte {
+	data, err := consensus.EncodeMessage(&raftpb.Message{
+		Type: raftpb.MsgHeartbeat.Enum(), From: new(from), To: new(to), Term: new(uint64(1)),
+	})
+	require.NoError(t, err)
+	return data
+}
+
+func TestReceiverCountsAndDropsWhatCannotBeUsed(t *testing.T) {
+	fleet := plane.Fleet("f")
+	now := time.Unix(1_700_000_000, 0)
+	for _, c := range []struct {
+		name     string
+		envelope *configpb.Envelope
+		counts   EnvelopeCounts
+	}{
+		{"sound", &configpb.Envelope{Fleet: fleet, From: 2, Message: heartbeat(t, 2, 1)}, EnvelopeCounts{Taken: 1}},
+		{"says that it is there", &configpb.Envelope{Fleet: fleet, From: 2}, EnvelopeCounts{}},
+		{"of another fleet", &configpb.Envelope{Fleet: fleet + 1, From: 2, Message: heartbeat(t, 2, 1)},
+			EnvelopeCounts{Foreign: 1}},
+		{"of no member", &configpb.Envelope{Fleet: fleet, From: 9, Message: heartbeat(t, 9, 1)}, EnvelopeCounts{Foreign: 1}},
+		{"of this machine", &configpb.Envelope{Fleet: fleet, From: 1, Message: heartbeat(t, 1, 1)},
+			EnvelopeCounts{Foreign: 1}},
+		{"of another member than it says", &configpb.Envelope{Fleet: fleet, From: 2, Message: heartbeat(t, 3, 1)},
+			EnvelopeCounts{Foreign: 1}},
+		{"for another machine", &configpb.Envelope{Fleet: fleet, From: 2, Message: heartbeat(t, 2, 3)},
+			EnvelopeCounts{Foreign: 1}},
+		{"unreadable", &configpb.Envelope{Fleet: fleet, From: 2, Message: []byte{0xff, 0xff}},
+			EnvelopeCounts{Unreadable: 1}},
+		{"oversized", &configpb.Envelope{Fleet: fleet, From: 2, Message: make([]byte, consensus.MaxMessageBytes+1)},
+			EnvelopeCounts{Oversized: 1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newReceiver(fleet, 1, []peerAddress{{id: 2}, {id: 3}}, nil)
+			message := r.open(now, c.envelope)
+			require.Equal(t, c.counts, r.envelopes())
+			require.Equal(t, c.counts.Taken == 1, message != nil)
+		})
+	}
+}
+
+func TestReceiverKnowsWhoWasHeardLately(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	r := newReceiver(7, 1, []peerAddress{{id: 2}, {id: 3}}, nil)
+	require.False(t, r.reachable(now, 2))
+	r.open(now, &configpb.Envelope{Fleet: 7, From: 2})
+	require.True(t, r.reachable(now.Add(aliveFor), 2))
+	require.False(t, r.reachable(now.Add(aliveFor+time.Millisecond), 2))
+	require.False(t, r.reachable(now, 3))
+	r.open(now, &configpb.Envelope{Fleet: 8, From: 3})
+	require.False(t, r.reachable(now, 3), "of another fleet")
+}
--- /dev/null
+++ b/internal/controlserver/transport_test.go
@@ -0,0 +1,108 @@
+package controlserver
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/grpc"
+
+	"mothrouter/internal/configpb"
+)
+
+const patience = 10 * time.Second // for what must come
+
+func listen(t *testing.T, address string) net.Listener {
+	l, err := net.Listen("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+func quiet() *slog.Logger { return slog.New(slog.DiscardHandler) }
+
+func newTestTransport(t *testing.T, address string) *transport {
+	sender, err := newTransport(7, 2, []peerAddress{{id: 1, name: "one", address: address}}, quiet())
+	require.NoError(t, err)
+	t.Cleanup(sender.close)
+	return sender
+}
+
+func heartbeatTo(to, commit uint64) *raftpb.Message {
+	return &raftpb.Message{Type: raftpb.MsgHeartbeat.Enum(), From: new(uint64(2)), To: new(to), Term: new(uint64(1)),
+		Commit: new(commit)}
+}
+
+// serve serves the Consensus service until the function that it returns is called.
+func serve(l net.Listener, deliver func(context.Context, *raftpb.Message) error) (stop func()) {
+	server := grpc.NewServer(grpc.MaxRecvMsgSize(maxPeerMessageBytes))
+	configpb.RegisterConsensusServer(server, newReceiver(7, 1, []peerAddress{{id: 2}}, deliver))
+	go server.Serve(l)
+	return server.Stop
+}
+
+func TestTransportReconnectsToAPeerThatWasAway(t *testing.T) {
+	l := listen(t, "127.0.0.1:0")
+	address := l.Addr().String()
+	got := make(chan uint64, 100)
+	deliver := func(_ context.Context, m *raftpb.Message) error {
+		got <- m.GetCommit()
+		return nil
+	}
+	stop := serve(l, deliver)
+	sender := newTestTransport(t, address)
+	sender.send(heartbeatTo(1, 1))
+	require.Equal(t, uint64(1), receive(t, got))
+	stop()
+	l = listen(t, address)
+	defer serve(l, deliver)()
+	sender.send(heartbeatTo(9, 5)) // there is no such peer
+	require.Eventually(t, func() bool {
+		sender.send(heartbeatTo(1, 2))
+		return len(got) > 0
+	}, patience, 50*time.Millisecond)
+	require.Equal(t, uint64(2), receive(t, got))
+}
+
+func receive(t *testing.T, from <-chan uint64) uint64 {
+	select {
+	case commit := <-from:
+		return commit
+	case <-time.After(patience):
+		t.Fatal("no message comes")
+		return 0
+	}
+}
+
+// A peer that takes connections and then reads nothing holds nobody up: what it is sent is bounded, the oldest goes.
+func TestTransportToAPeerThatTakesNothing(t *testing.T) {
+	stuck := make(chan struct{})
+	l := listen(t, "127.0.0.1:0")
+	stop := serve(l, func(ctx context.Context, _ *raftpb.Message) error {
+		select {
+		case <-stuck:
+		case <-ctx.Done():
+		}
+		return ctx.Err()
+	})
+	defer stop()
+	defer close(stuck)
+	sender := newTestTransport(t, l.Addr().String())
+	message := heartbeatTo(1, 1)
+	message.Context = make([]byte, 1<<20)
+	began := time.Now()
+	const sent = 3 * MaxQueuedBytes >> 20
+	for range sent {
+		sender.send(message)
+	}
+	require.Less(t, time.Since(began), patience)
+	require.Greater(t, sender.dropped(), uint64(sent/2))
+	box := sender.peers[1].outbox
+	box.mu.Lock()
+	defer box.mu.Unlock()
+	require.LessOrEqual(t, box.bytes, MaxQueuedBytes)
+}
