--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -158,6 +158,10 @@
 	TickInterval time.Duration // 0: DefaultTickInterval
 	LostAfter    time.Duration // 0: DefaultLostAfter
 	Logger       *slog.Logger  // nil: none
+
+	// Smaller in tests: 0 stands for SnapshotEntries and trailingEntries.
+	snapshotEntries int
+	trailingEntries int
 }
 
 func (o Options) withDefaults() (Options, error) {
@@ -170,6 +174,9 @@
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
+	if o.snapshotEntries == 0 {
+		o.snapshotEntries, o.trailingEntries = SnapshotEntries, trailingEntries
+	}
 	known := make(map[uint64]bool, len(o.Members))
 	for _, id := range o.Members {
 		if id == 0 || known[id] || id > maxID {
--- a/internal/consensus/message.go
+++ b/internal/consensus/message.go
@@ -66,9 +66,9 @@
 	case raftpb.MsgHeartbeat:
 		return n.checkHeartbeat(message, current)
 	case raftpb.MsgAppResp:
-		return n.checkAppendResponse(message, current)
+		return n.checkAppendResponse(message)
 	case raftpb.MsgHeartbeatResp:
-		return n.checkHeartbeatResponse(message, current)
+		return n.checkHeartbeatResponse(message)
 	case raftpb.MsgReadIndex, raftpb.MsgReadIndexResp:
 		return checkRead(message)
 	case raftpb.MsgVote, raftpb.MsgPreVote, raftpb.MsgVoteResp, raftpb.MsgPreVoteResp:
@@ -108,7 +108,7 @@
 	return n.stopped
 }
 
-func (n *Node) checkHeartbeatResponse(message *raftpb.Message, current bool) error {
+func (n *Node) checkHeartbeatResponse(message *raftpb.Message) error {
 	context := message.GetContext()
 	if len(context) == 0 {
 		return nil
@@ -116,14 +116,15 @@
 	if len(context) != readPositionBytes {
 		return malformed(message, "context of %d bytes", len(context))
 	}
-	if position := binary.LittleEndian.Uint64(context); current && position > n.members.readsSent {
+	position := binary.LittleEndian.Uint64(context)
+	if n.isLeaderOf(message) && position > n.members.readsSent {
 		return malformed(message, "read %d, of %d", position, n.members.readsSent)
 	}
 	return nil
 }
 
-func (n *Node) checkAppendResponse(message *raftpb.Message, current bool) error {
-	if current && !message.GetReject() && message.GetIndex() > n.lastStored() && n.members.leadership != 0 {
+func (n *Node) checkAppendResponse(message *raftpb.Message) error {
+	if n.isLeaderOf(message) && !message.GetReject() && message.GetIndex() > n.lastStored() {
 		return malformed(message, "index %d, stored up to %d", message.GetIndex(), n.lastStored())
 	}
 	return nil
@@ -161,6 +162,7 @@
 	return n.checkCommitted(message)
 }
 
+// isLeaderOf tells whether a message is of the term that this member leads.
 func (n *Node) isLeaderOf(message *raftpb.Message) bool {
 	return n.members.leadership != 0 && n.members.leadership == message.GetTerm()
 }
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -75,8 +75,9 @@
 	Err    error  // ErrTimeout
 }
 
-// New returns the node of a storage, which must hold StartSnapshot or what grew from it. Its error wraps ErrSettings
-// or ErrStorage.
+// New returns the node of a storage, which must hold StartSnapshot or what grew from it. The node has applied all that
+// the storage knows to be committed, so that its newest revision is not behind that of an earlier run. The error wraps
+// ErrSettings or ErrStorage.
 func New(options Options, storage raft.Storage, now time.Time) (node *Node, err error) {
 	options, err = options.withDefaults()
 	if err != nil {
@@ -110,9 +111,26 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrStorage, err)
 	}
+	node.replay()
 	return node, nil
 }
 
+// replay applies the entries that the storage knows to be committed. There is nothing to store or to send for them.
+func (n *Node) replay() {
+	var applied Applied // nobody waits for it
+	for n.raw.HasReady() {
+		ready := n.raw.Ready()
+		if len(ready.Entries) > 0 || len(ready.Messages) > 0 || !raft.IsEmptyHardState(ready.HardState) {
+			panic("consensus: a new node has something to store or to send")
+		}
+		for _, entry := range ready.CommittedEntries {
+			n.apply(entry, &applied)
+		}
+		n.raw.Advance(ready)
+	}
+	n.planCompaction()
+}
+
 func (n *Node) config() *raft.Config {
 	return &raft.Config{
 		ID:                        n.options.ID,
@@ -223,8 +241,8 @@
 	if err := n.checkMessage(message); err != nil {
 		return err
 	}
-	if message.GetType() == raftpb.MsgReadIndex && !n.answersReads() {
-		return nil // raft would keep it, without bound; the other asks again
+	if message.GetType() == raftpb.MsgReadIndex && (n.members.leadership == 0 || !n.answersReads()) {
+		return nil // raft would pass it on in circles, or keep it without bound; the other asks again
 	}
 	n.members.hear(message.GetFrom(), n.now)
 	if err := n.stepRaft(message); err != nil {
@@ -364,7 +382,7 @@
 
 // planCompaction asks for a snapshot where enough was applied since the last.
 func (n *Node) planCompaction() {
-	if n.log.entries < SnapshotEntries && n.log.bytes < SnapshotBytes {
+	if n.log.entries < n.options.snapshotEntries && n.log.bytes < SnapshotBytes {
 		return
 	}
 	index := n.machine.Applied()
@@ -372,8 +390,8 @@
 	if err != nil {
 		panic(fmt.Sprintf("consensus: first index: %v", err))
 	}
-	if index > trailingEntries {
-		first = max(first, index-trailingEntries+1)
+	if trailing := uint64(n.options.trailingEntries); index > trailing {
+		first = max(first, index-trailing+1)
 	}
 	n.log = logSize{}
 	n.compaction = &Compaction{
--- /dev/null
+++ b/internal/consensus/proof_test.go
@@ -0,0 +1,85 @@
+package consensus
+
+import (
+	"flag"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	seedCount = flag.Uint64("seeds", 40, "seeds of the simulation")
+	firstSeed = flag.Uint64("first-seed", 1, "first seed of the simulation")
+)
+
+// TestSimulation plays the log from many seeds. go test -run TestSimulation -seeds 500 plays more of them.
+func TestSimulation(t *testing.T) {
+	var all simulationStats
+	for seed := *firstSeed; seed < *firstSeed+*seedCount; seed++ {
+		s := simulate(seed, noFault, nil)
+		for _, violation := range s.checker.violations {
+			t.Errorf("seed %d: %s: %s", seed, violation.breach, violation.what)
+		}
+		all.add(s.stats)
+		if t.Failed() {
+			break
+		}
+	}
+	t.Logf("%d seeds: %+v", *seedCount, all)
+	if *seedCount >= 40 && !t.Failed() {
+		require.Positive(t, all.snapshots, "no snapshot was sent")
+		require.Positive(t, all.changes, "no spare was promoted")
+		require.Greater(t, all.leaders, int(*seedCount), "no leader changed")
+		require.Greater(t, all.acknowledged, 10*int(*seedCount))
+		require.Greater(t, all.reads, 10*int(*seedCount))
+	}
+}
+
+func (s *simulationStats) add(other simulationStats) {
+	s.crashes += other.crashes
+	s.pauses += other.pauses
+	s.cuts += other.cuts
+	s.snapshots += other.snapshots
+	s.changes += other.changes
+	s.acknowledged += other.acknowledged
+	s.reads += other.reads
+	s.leaders += other.leaders
+}
+
+func TestSimulationOfASeedRepeats(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		require.Equal(t, simulate(seed, noFault, nil).digest(), simulate(seed, noFault, nil).digest())
+	}
+	require.NotEqual(t, simulate(1, noFault, nil).digest(), simulate(2, noFault, nil).digest())
+}
+
+// TestPlantedFaultsAreCaught shows that each checker sees what it is for.
+func TestPlantedFaultsAreCaught(t *testing.T) {
+	const atMost = 60 // seeds until the fault must have shown
+	for _, planted := range []struct {
+		name   string
+		fault  fault
+		breach breach
+	}{
+		{"acknowledged before commit", faultAckBeforeCommit, breachLost},
+		{"save skipped", faultSaveSkipped, breachRefused},
+		{"vote forgotten", faultVoteForgotten, breachTwoLeaders},
+		{"commit forgotten", faultCommitForgotten, breachWentBack},
+		{"read without ReadIndex", faultStaleRead, breachHistory},
+		{"content changed on a disk", faultContent, breachContent},
+		{"revision skipped", faultRevisionSkipped, breachGap},
+		{"new request id", faultNewRequest, breachTwoNumbers},
+		{"heartbeats confirm", faultHeartbeatsConfirm, breachStale},
+		{"a cut stays", faultNeverHeals, breachNoAgreement},
+	} {
+		t.Run(planted.name, func(t *testing.T) {
+			for seed := uint64(1); seed <= atMost; seed++ {
+				if simulate(seed, planted.fault, nil).checker.found(planted.breach) {
+					t.Logf("caught by seed %d", seed)
+					return
+				}
+			}
+			t.Errorf("not caught: %s", planted.breach)
+		})
+	}
+}
