--- a/internal/decision/api.go
+++ b/internal/decision/api.go
@@ -212,6 +212,10 @@
 		Parts  int
 		Until  float64
 	}
+	// Configured tells that queries taken from now on belong to these classes: as many as before, in the same order,
+	// that differ in Aim, Deadline, Worth and LateWorth at most. Queries that are open end under the classes under
+	// which they were taken. Neither side writes to Classes afterwards, so that several Deciders may hold one slice.
+	Configured struct{ Classes []Class }
 	// Fleet tells how many brokers share what is common to all, where they know of each other.
 	Fleet struct{ Brokers int }
 	// Timer is a timer that fell due.
@@ -233,6 +237,7 @@
 func (Heard) event()       {}
 func (Allowance) event()   {}
 func (Remembered) event()  {}
+func (Configured) event()  {}
 func (Fleet) event()       {}
 func (Timer) event()       {}
 func (PeerMessage) event() {}
--- a/internal/decision/policy.go
+++ b/internal/decision/policy.go
@@ -55,21 +55,19 @@
 type mark struct{ share, at float64 }
 
 type attempt struct {
-	srv          *server
-	sentAt       float64
-	live, mayRun bool
-	dropped      bool    // its Cancel is on the way
-	crowd        float64 // this broker's parts at the server then, this one included
+	srv                   *server
+	sentAt                float64
+	live, mayRun, dropped bool    // dropped: its Cancel is on the way
+	crowd                 float64 // this broker's parts at the server then, this one included
 }
 
 type part struct {
 	Part
-	q        *query
-	attempts []attempt
-	live     int
-	in       bool // its answer has come
-	over     bool // its step or query has ended
-	dropped  bool // cannot be sent again
+	q             *query
+	attempts      []attempt
+	live          int
+	in            bool // its answer has come
+	over, dropped bool // its step or query has ended; it cannot be sent again
 }
 
 type query struct {
@@ -169,6 +167,8 @@
 			p.pace, p.peak = cmp.Or(p.pace, e.Pace), math.Max(p.peak, e.Peak)
 		case Fleet:
 			p.set.Brokers = e.Brokers
+		case Configured: // open queries keep the class that they point to; waits were for the old deadlines
+			p.set.Classes, p.waits = e.Classes, make([]float64, len(p.waits))
 		case Allowance:
 			if s := p.byID[e.Server]; s != nil {
 				s.allowance, s.sends = &e, nil
