--- /dev/null
+++ b/internal/broker/configure.go
@@ -0,0 +1,120 @@
+package broker
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"mothrouter/internal/decision"
+)
+
+// Change is what a revision of the configuration changes in a core that serves. Nobody writes to it once it is handed
+// over.
+type Change struct {
+	Classes []decision.Class // all of them; against those in force, only Aim, Deadline, Worth and LateWorth may differ
+	OpenCap int              // queries and parts held at most, by all loops together; 0: no limit
+}
+
+// fits tells why a change cannot be taken into force while classes are; nil: it can.
+func (c Change) fits(classes []decision.Class) error {
+	if len(c.Classes) != len(classes) {
+		return fmt.Errorf("classes: there are %d, not %d", len(classes), len(c.Classes))
+	}
+	if c.OpenCap < 0 {
+		return fmt.Errorf("open cap: %d is negative", c.OpenCap)
+	}
+	for i, class := range c.Classes {
+		if !(class.Aim > 0 && class.Deadline > 0) {
+			return fmt.Errorf("classes[%d]: %g s and %g s are no aim and deadline", i, class.Aim, class.Deadline)
+		}
+		if fixed(class) != fixed(classes[i]) {
+			return fmt.Errorf("classes[%d]: more than aim, deadline, worth and late worth differs", i)
+		}
+	}
+	return nil
+}
+
+// fixed is what of a class cannot change in service.
+func fixed(class decision.Class) decision.Class {
+	class.Aim, class.Deadline, class.Worth, class.LateWorth = 0, 0, 0, 0
+	return class
+}
+
+// Configure takes a change into force, and returns once it is. It is applied whole at one point of the loop: a query
+// that the loop takes before is held, guarded, answered and refused under the settings before, to its end; one that it
+// takes after belongs to the new ones altogether. What is held beyond a smaller open cap stays held. After an error the
+// settings before hold. It returns ErrEnded if the loop has ended.
+func (b *Broker) Configure(c Change) error { return b.PostChange(c, func() {})() }
+
+// ErrEnded tells that a loop has ended, and takes nothing into force any more.
+var ErrEnded = errors.New("the loop has ended")
+
+// PostChange is Configure in two steps, for several loops: it does not wait, and the returned function does, once. Where
+// loops share an open count, applied is called by the loop at the point where the change is in force, so that whoever
+// owns the count can resize it there.
+func (b *Broker) PostChange(c Change, applied func()) (wait func() error) {
+	taken := make(chan error, 1)
+	b.post(func() {
+		err := b.configure(c)
+		if err == nil {
+			applied()
+		}
+		taken <- err
+	})
+	return func() error {
+		select {
+		case err := <-taken:
+			return err
+		case <-b.stopped:
+			return ErrEnded
+		}
+	}
+}
+
+// configure is the one point at which a change comes into force. The loop calls it.
+func (b *Broker) configure(c Change) error {
+	set := &b.opt.Settings
+	if err := c.fits(set.Classes); err != nil {
+		return err
+	}
+	if b.opt.Open == nil {
+		b.opt.OpenCap = c.OpenCap
+	}
+	if slices.Equal(c.Classes, set.Classes) {
+		return nil // the Decider has nothing to hear
+	}
+	set.Classes = slices.Clone(c.Classes) // the old ones are not written to: queries and the Decider may point there
+	b.tell(decision.Configured{Classes: set.Classes})
+	return nil
+}
+
+// patience is how long a query's client waits.
+func (b *Broker) patience(r *Request) time.Duration {
+	if r.Unstated {
+		return min(seconds(b.opt.Settings.Classes[r.Class].Deadline), maxPatience)
+	}
+	return r.Patience
+}
+
+// Longest is the longest deadline of a class in force, or of one that a query which is held was taken under. A process
+// that ends plans by it. It is 0 if the loop has ended.
+func (b *Broker) Longest() time.Duration {
+	longest := make(chan float64, 1)
+	b.post(func() {
+		most := 0.0
+		for _, class := range b.opt.Settings.Classes {
+			most = max(most, class.Deadline)
+		}
+		for _, q := range b.queries {
+			most = max(most, q.class.Deadline)
+		}
+		longest <- most
+	})
+	select {
+	case most := <-longest:
+		return seconds(most)
+	case <-b.stopped:
+		return 0
+	}
+}
--- /dev/null
+++ b/internal/broker/configure_test.go
@@ -0,0 +1,282 @@
+package broker_test
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mothrouter/internal/broker"
+	"mothrouter/internal/decision"
+)
+
+// oldDeadline and newDeadline are of the classes before and after the changes of these tests; aims are half of them.
+// The open caps are as far apart: a query of one part passes the old one, the new one passes two parts.
+const (
+	oldDeadline = 0.6
+	newDeadline = 2.4
+	oldCap      = 2
+	newCap      = 3
+)
+
+// classes are a safe class and one with a floor, with a deadline.
+func classes(deadline float64) []decision.Class {
+	return []decision.Class{
+		{Aim: deadline / 2, Deadline: deadline, Worth: 1, Need: 1, Floor: 1},
+		{Aim: deadline / 2, Deadline: deadline, Worth: 1, Need: 1, Floor: 0.5, Repeat: decision.RepeatKeyed, RepeatWindow: 0.2},
+	}
+}
+
+// gate is a Decider that has its loop wait in each batch with a Timer until the test lets it go on, and keeps all events.
+type gate struct {
+	batches chan []decision.Event
+	hold    chan struct{}
+	actions chan []decision.Action
+}
+
+func (g *gate) Handle(_ float64, events []decision.Event) []decision.Action {
+	g.batches <- slices.Clone(events)
+	if slices.ContainsFunc(events, func(e decision.Event) bool { _, ok := e.(decision.Timer); return ok }) {
+		<-g.hold
+		return <-g.actions
+	}
+	return nil
+}
+
+// held is a core whose loop a test can hold, under the old settings.
+type held struct {
+	*testing.T
+	*gate
+	link
+	b     *broker.Broker
+	start []decision.Class // those handed over at its start
+}
+
+func newHeld(t *testing.T) *held {
+	h := &held{T: t, gate: &gate{make(chan []decision.Event, 1000), make(chan struct{}), make(chan []decision.Action, 10)},
+		link: link{make(chan *broker.Call, 10), make(chan *broker.Call, 10)}}
+	set := decision.Settings{Cells: 1, Reach: 1, MaxAttempts: 3, RetryAfter: true, MaxWait: 0.5, Classes: classes(oldDeadline)}
+	h.start = set.Classes
+	h.b = broker.New(broker.Options{Settings: set, OpenCap: oldCap}, h.gate, h.link)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go h.b.Run(ctx)
+	return h
+}
+
+// stop holds the loop: all that is handed over from now on comes to it at once, in its order, when go on is called.
+func (h *held) stop() (goOn func(...decision.Action)) {
+	h.b.Tell(decision.Timer{Token: 7})
+	for {
+		batch := h.batch()
+		if slices.Contains(batch, decision.Event(decision.Timer{Token: 7})) {
+			return func(actions ...decision.Action) {
+				h.actions <- actions
+				h.hold <- struct{}{}
+			}
+		}
+	}
+}
+
+func (h *held) batch() []decision.Event {
+	h.Helper()
+	select {
+	case b := <-h.batches:
+		return b
+	case <-time.After(2 * time.Second):
+		require.FailNow(h, "no batch came")
+		return nil
+	}
+}
+
+// query hands over a query that states no time and has parts at shards 0, 1 ... .
+func (h *held) query(name string, class, parts int) client {
+	c := make(client, 1)
+	r := &broker.Request{ID: name, Class: class, Unstated: true, Arrived: time.Now(), Text: []byte("x")}
+	for i := range parts {
+		r.Parts = append(r.Parts, broker.Part{Shard: i, Share: 1 / float64(parts)})
+	}
+	require.NoError(h, r.Check(0))
+	h.b.Take(r, c)
+	return c
+}
+
+// result waits for an answer.
+func (h *held) result(c client) broker.Result {
+	h.Helper()
+	select {
+	case r := <-c:
+		return r
+	case <-time.After(5 * time.Second):
+		require.FailNow(h, "no answer came")
+		return broker.Result{}
+	}
+}
+
+// post hands over a change and returns how to wait for it.
+func (h *held) post(c broker.Change) func() error { return h.b.PostChange(c, func() {}) }
+
+// Queries, changes and more queries that come to the loop at once: each query is taken whole under the settings before
+// or those after, by its place in the order, with its deadline, the cap and what the Decider hears; and the Decider hears
+// of the change between them.
+func TestAChangeComesIntoForceAtOnePoint(t *testing.T) {
+	h := newHeld(t)
+	goOn := h.stop()
+	fits := h.query("before", 0, 1)
+	refused := h.query("beyond-the-old-cap", 0, 2)
+	full := h.query("full-before", 1, 1)
+	wait := h.post(broker.Change{Classes: classes(newDeadline), OpenCap: newCap})
+	more := h.query("full-still", 0, 2)
+	goOn()
+	require.NoError(t, wait())
+	require.Equal(t, broker.Refused, h.result(refused).Outcome)
+	require.Equal(t, broker.Refused, h.result(full).Outcome, "one query of one part fills the old cap")
+	require.Equal(t, broker.Refused, h.result(more).Outcome, "the cap counts what is held")
+	batch := h.batch()
+	taken := slices.IndexFunc(batch, func(e decision.Event) bool { _, ok := e.(decision.Query); return ok })
+	told := slices.IndexFunc(batch, func(e decision.Event) bool { _, ok := e.(decision.Configured); return ok })
+	require.True(t, taken >= 0 && taken < told, "%v", batch)
+	require.Equal(t, classes(newDeadline), batch[told].(decision.Configured).Classes)
+	early := batch[taken].(decision.Query)
+	require.InDelta(t, oldDeadline, early.Deadline-early.Came, 1e-3)
+	require.Equal(t, broker.Overdue, h.result(fits).Outcome)
+
+	after := h.query("after", 0, 2)
+	var late *decision.Query
+	for late == nil {
+		for _, e := range h.batch() {
+			if q, ok := e.(decision.Query); ok {
+				late = &q
+			}
+		}
+	}
+	require.Equal(t, 2, late.Parts)
+	require.InDelta(t, newDeadline, late.Deadline-late.Came, 1e-3)
+	require.Equal(t, broker.Overdue, h.result(after).Outcome)
+}
+
+// What stands before a change in the loop's order is judged by the settings before, also the smaller cap: a change is
+// not in force before its point has come, in no part.
+func TestNoPartOfAChangeIsAheadOfIt(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		cap  int
+		want broker.Outcome
+	}{{"larger cap", newCap, broker.Refused}, {"smaller cap", 1, broker.Overdue}} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHeld(t)
+			goOn := h.stop()
+			parts := 1
+			if c.cap > oldCap {
+				parts = 2
+			}
+			query := h.query("before", 0, parts)
+			wait := h.post(broker.Change{Classes: classes(newDeadline), OpenCap: c.cap})
+			goOn()
+			require.NoError(t, wait())
+			from := time.Now()
+			require.Equal(t, c.want, h.result(query).Outcome)
+			require.Less(t, time.Since(from).Seconds(), newDeadline/2)
+		})
+	}
+}
+
+// A query over a change keeps its deadline, floor, window and answer to the end.
+func TestAQueryOverAChangeKeepsItsSettings(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		old, new float64
+	}{{"longer deadlines", oldDeadline, newDeadline}, {"shorter deadlines", newDeadline, oldDeadline}} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHeld(t)
+			require.NoError(t, h.b.Configure(broker.Change{Classes: classes(c.old), OpenCap: 20}))
+			h.b.Update(broker.List{Mode: decision.ListFull, Servers: []broker.ListEntry{{Addr: "s0", Server: decision.Server{ID: "s0"}}}})
+			start := time.Now()
+			silent := h.query("silent", 0, 1)
+			half := h.query("half", 1, 2)
+			var first, name decision.RequestID
+			for first == 0 {
+				for _, e := range h.batch() {
+					if q, ok := e.(decision.Query); ok && q.Class == 1 {
+						name = q.ID
+					}
+					if p, ok := e.(decision.Part); ok && name != 0 && first == 0 {
+						first = p.ID
+					}
+				}
+			}
+			require.NoError(t, h.b.Configure(broker.Change{Classes: classes(c.new), OpenCap: 20}))
+			require.Equal(t, newDeadline, h.b.Longest().Seconds(), "the longest that is held or in force")
+			h.stop()(decision.Send{ID: first, Server: "s0"})
+			call := <-h.sent
+			require.InDelta(t, c.old, call.Deadline.Sub(start).Seconds(), 0.2)
+			require.True(t, call.Begin())
+			call.Done(done(decision.OK))
+			h.stop()(decision.Answer{ID: name, Whole: true})
+			answered := h.result(half)
+			require.Equal(t, broker.Answered, answered.Outcome, "half of it is its floor")
+			require.Len(t, answered.Values, 1)
+			require.Equal(t, broker.Overdue, h.result(silent).Outcome)
+			require.InDelta(t, c.old, time.Since(start).Seconds(), 0.25)
+			require.Equal(t, c.new, h.b.Longest().Seconds(), "nothing is held any more")
+		})
+	}
+}
+
+// A change that does not fit changes nothing, and the Decider hears nothing of it; nor does it of one that changes
+// classes in nothing.
+func TestAChangeThatDoesNotFitChangesNothing(t *testing.T) {
+	h := newHeld(t)
+	spoil := func(f func(*decision.Class)) broker.Change {
+		c := classes(newDeadline)
+		f(&c[1])
+		return broker.Change{Classes: c, OpenCap: newCap}
+	}
+	for name, c := range map[string]broker.Change{
+		"fewer":    {Classes: classes(newDeadline)[:1], OpenCap: newCap},
+		"more":     {Classes: append(classes(newDeadline), classes(newDeadline)[0]), OpenCap: newCap},
+		"cap":      {Classes: classes(newDeadline), OpenCap: -1},
+		"repeat":   spoil(func(c *decision.Class) { c.Repeat = decision.RepeatUnsafe }),
+		"window":   spoil(func(c *decision.Class) { c.RepeatWindow = 9 }),
+		"need":     spoil(func(c *decision.Class) { c.Need = 0.1 }),
+		"floor":    spoil(func(c *decision.Class) { c.Floor = 0.1 }),
+		"step":     spoil(func(c *decision.Class) { c.SecondStep = 3 }),
+		"stretch":  spoil(func(c *decision.Class) { c.AimStretch = 3 }),
+		"aim":      spoil(func(c *decision.Class) { c.Aim = 0 }),
+		"deadline": spoil(func(c *decision.Class) { c.Deadline = -1 }),
+	} {
+		require.Error(t, h.b.Configure(c), name)
+	}
+	require.NoError(t, h.b.Configure(broker.Change{Classes: classes(oldDeadline), OpenCap: oldCap}))
+	require.Equal(t, oldDeadline, h.b.Longest().Seconds())
+	require.Equal(t, broker.Refused, h.result(h.query("beyond", 0, 2)).Outcome)
+	h.stop()()
+	require.Empty(t, h.batches, "the Decider has heard of a change")
+}
+
+// A change that is handed to a loop which has ended is an error, not a wait.
+func TestNoChangeOfALoopThatHasEnded(t *testing.T) {
+	b := broker.New(broker.Options{Settings: decision.Settings{Classes: classes(oldDeadline)}}, &gate{}, link{})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	b.Run(ctx)
+	require.ErrorIs(t, b.Configure(broker.Change{Classes: classes(newDeadline)}), broker.ErrEnded)
+	require.Zero(t, b.Longest())
+}
+
+// Classes that a Decider or the caller may hold are not written to, by this change nor by the next one.
+func TestChangesAreNotMadeInPlace(t *testing.T) {
+	h := newHeld(t)
+	c := broker.Change{Classes: classes(newDeadline), OpenCap: newCap}
+	require.NoError(t, h.b.Configure(c))
+	told := h.batch()[0].(decision.Configured).Classes
+	require.NoError(t, h.b.Configure(broker.Change{Classes: classes(9), OpenCap: newCap}))
+	require.Equal(t, classes(oldDeadline), h.start)
+	require.Equal(t, classes(newDeadline), told)
+	require.Equal(t, classes(newDeadline), c.Classes)
+	c.Classes[0].Deadline = 99 // the caller's affair
+	require.Equal(t, 9., h.b.Longest().Seconds())
+	require.Equal(t, classes(newDeadline), told)
+}
--- a/internal/broker/query.go
+++ b/internal/broker/query.go
@@ -93,7 +93,7 @@
 		c.Finish(Result{Outcome: Duplicate})
 		return
 	}
-	deadline := r.Arrived.Add(r.Patience)
+	deadline := r.Arrived.Add(b.patience(r))
 	if !b.endBy.IsZero() && deadline.After(b.endBy) {
 		deadline = b.endBy
 	}
--- a/internal/broker/request.go
+++ b/internal/broker/request.go
@@ -15,6 +15,7 @@
 	Retry    bool
 	Arrived  time.Time
 	Patience time.Duration // how long the client waits
+	Unstated bool          // it has not said so: Patience is the deadline of its class when the query is taken
 	Parts    []Part
 	Text     []byte // what each part carries
 	// Left is set by the front, on whatever goroutine, the moment it learns that the client has gone: no attempt begins
@@ -45,7 +46,7 @@
 	if !validID(r.ID) {
 		return fmt.Errorf("id: cannot use %q", r.ID)
 	}
-	if r.Patience <= 0 || r.Patience > maxPatience {
+	if !r.Unstated && (r.Patience <= 0 || r.Patience > maxPatience) {
 		return fmt.Errorf("deadline: %v is no time to wait", r.Patience)
 	}
 	if len(r.Parts) == 0 {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,9 +3,7 @@
 
 import (
 	"bytes"
-	"cmp"
 	"encoding/json"
-	"fmt"
 	"net"
 	"os"
 	"slices"
@@ -16,7 +14,6 @@
 	"mothrouter/internal/control"
 	"mothrouter/internal/decision"
 	"mothrouter/internal/discovery"
-	"mothrouter/internal/wire"
 )
 
 // Config is all that a broker is told.
@@ -90,39 +87,30 @@
 
 // file is PROXY_CONFIG.
 type file struct {
-	Name      string `json:"name"`
-	Listen    string `json:"listen"`
-	Discovery string `json:"discovery"`
-	Control   string `json:"control"`
-	Seed      string `json:"seed"`
-	Limits    struct {
+	Name    string `json:"name"`
+	Listen  string `json:"listen"`
+	Control string `json:"control"`
+	Seed    string `json:"seed"`
+	Limits  struct {
 		MemoryMB *int `json:"memory_mb"`
 		Sockets  *int `json:"sockets"`
 	} `json:"limits"`
-	Known    *discovery.Message `json:"known"`
-	Settings json.RawMessage    `json:"settings"`
+	Known *discovery.Message `json:"known"`
+	inService
 }
 
-// settings is what a real broker needs of the settings beside what the module does.
-type settings struct {
-	Caps struct {
-		OpenCap        int      `json:"openCap"`
-		ConnIdle       *float64 `json:"connIdleS"`
-		ConnectTimeout *float64 `json:"connectTimeoutS"`
-		Streams        *int     `json:"streamsPerConn"`
-	} `json:"caps"`
-	Classes []struct {
-		Name string `json:"name"`
-	} `json:"classes"`
-	Family struct {
-		Shards int `json:"slabs"`
-	} `json:"familyInfo"`
-	Kinds []string `json:"machineTypes"`
-	Zones []string `json:"zones"`
+// inService is what PROXY_CONFIG and a revision's document have in common.
+type inService struct {
+	Discovery string          `json:"discovery"`
+	Settings  json.RawMessage `json:"settings"`
 }
 
-func bad(key, format string, args ...any) error {
-	return fmt.Errorf("%s: %s", key, fmt.Sprintf(format, args...))
+// defaults is a configuration that says nothing.
+func defaults() *Config {
+	return &Config{
+		MemoryMB: defaultMemoryMB, Sockets: defaultSockets,
+		ConnIdle: 15 * time.Second, ConnectTimeout: 250 * time.Millisecond, Streams: 1,
+	}
 }
 
 // Load reads the environment, by getenv, and the file that PROXY_CONFIG names. The environment's
@@ -140,12 +128,8 @@
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, bad("PROXY_CONFIG", "%v", err)
 	}
-	c := &Config{
-		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Control: f.Control,
-		MemoryMB: defaultMemoryMB, Sockets: defaultSockets,
-		ConnIdle: 15 * time.Second, ConnectTimeout: 250 * time.Millisecond, Streams: 1,
-		getenv: getenv, file: f,
-	}
+	c := defaults()
+	c.Name, c.Listen, c.Discovery, c.Control, c.getenv, c.file = f.Name, f.Listen, f.Discovery, f.Control, getenv, f
 	for key, v := range map[string]*string{
 		"PROXY_NAME": &c.Name, "PROXY_LISTEN": &c.Listen, "PROXY_DISCOVERY": &c.Discovery,
 		"PROXY_CONTROL": &c.Control,
@@ -248,88 +232,3 @@
 	}
 	return nil
 }
-
-// settings reads the settings, of which the module's part as the adapter does.
-func (c *Config) settings(text json.RawMessage) (err error) {
-	if len(text) == 0 {
-		return bad("settings", "is missing")
-	}
-	if c.Settings, err = wire.ParseSettings(string(text)); err != nil {
-		return bad("settings", "%v", err)
-	}
-	// A part's attempts are never out together here, even where the platform bears it. The module must know: one that
-	// counts on copies waits for them beside an attempt that is lost.
-	c.Settings.MayCopy = false
-	var s settings
-	if err := json.Unmarshal(text, &s); err != nil {
-		return bad("settings", "%v", err)
-	}
-	if len(s.Classes) == 0 {
-		return bad("settings.classes", "is missing or empty")
-	}
-	c.Classes = map[string]int{}
-	for i, class := range s.Classes {
-		if _, twice := c.Classes[class.Name]; class.Name == "" || twice {
-			return bad(fmt.Sprintf("settings.classes[%d].name", i), "%q is empty or stands twice", class.Name)
-		}
-		if err := c.class(i); err != nil {
-			return err
-		}
-		c.Classes[class.Name] = i
-	}
-	if c.Settings.Cells <= 0 || c.Settings.Cells > mostSockets {
-		return bad("settings.familyInfo.cells", "%d is outside 1 to %d", c.Settings.Cells, mostSockets)
-	}
-	if t := c.Settings.Tick; t < 0 || t > 1 {
-		return bad("settings.tickS", "%g is outside 0 to 1", t)
-	}
-	if t := c.Settings.MaxWait; t < 0 || t > mostSeconds {
-		return bad("settings.caps.maxRetryAfterS", "%g is outside 0 to %g", t, mostSeconds)
-	}
-	if c.OpenCap, c.Shards = s.Caps.OpenCap, s.Family.Shards; c.OpenCap < 0 {
-		return bad("settings.caps.openCap", "%d is negative", c.OpenCap)
-	}
-	c.Names = discovery.Names{Zones: s.Zones, Kinds: s.Kinds}
-	if n := s.Caps.Streams; n != nil {
-		if c.Streams = *n; *n < 1 {
-			return bad("settings.caps.streamsPerConn", "%d is below 1", *n)
-		}
-	}
-	for _, d := range []struct {
-		key string
-		v   *float64
-		to  *time.Duration
-	}{
-		{"settings.caps.connIdleS", s.Caps.ConnIdle, &c.ConnIdle},
-		{"settings.caps.connectTimeoutS", s.Caps.ConnectTimeout, &c.ConnectTimeout},
-	} {
-		if d.v == nil {
-			continue
-		}
-		if !(*d.v > 0 && *d.v <= mostSeconds) {
-			return bad(d.key, "%g is outside 0 to %g, or 0", *d.v, mostSeconds)
-		}
-		*d.to = max(time.Duration(*d.v*float64(time.Second)), time.Millisecond) // nothing would be no limit
-	}
-	return nil
-}
-
-// class checks a class. One that names no aim is wanted within its deadline.
-func (c *Config) class(i int) error {
-	class := &c.Settings.Classes[i]
-	key := func(name string) string { return fmt.Sprintf("settings.classes[%d].%s", i, name) }
-	if !(class.Deadline > 0 && class.Deadline <= mostSeconds) {
-		return bad(key("deadlineS"), "%g is outside 0 to %g, or 0", class.Deadline, mostSeconds)
-	}
-	if class.Aim < 0 || class.Aim > mostSeconds {
-		return bad(key("objectiveS"), "%g is outside 0 to %g", class.Aim, mostSeconds)
-	}
-	class.Aim = cmp.Or(class.Aim, class.Deadline)
-	if !(class.Need > 0 && class.Need <= 1) {
-		return bad(fmt.Sprintf("settings.familyInfo.needByClass[%d]", i), "%g is outside 0 to 1, or 0", class.Need)
-	}
-	if !(class.Floor >= 0 && class.Floor <= 1) {
-		return bad(fmt.Sprintf("settings.familyInfo.classFloor[%d]", i), "%g is outside 0 to 1", class.Floor)
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/config/document_test.go
@@ -0,0 +1,259 @@
+package config_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"mothrouter/internal/config"
+)
+
+// document has a site's settings in the form of PROXY_CONFIG, with a key that no broker reads.
+const document = `{"discovery":"127.0.0.1:8500","settings":{"site":{"name":"bern","racks":[1,2]},
+"classes":[{"name":"c","deadlineS":2,"objectiveS":1,"worth":1,"lateWorth":0.5,"semantics":"free"},
+{"name":"d","deadlineS":3,"objectiveS":1,"semantics":"guarded","windowS":2}],
+"zones":["a","b"],"machineTypes":["m2"],"caps":{"openCap":9,"sendCap":4},"familyInfo":{"cells":4,"slabs":8}}}`
+
+func parse(t *testing.T, text string) *config.Document {
+	d, err := config.ParseDocument([]byte(text))
+	require.NoError(t, err)
+	return d
+}
+
+// requireKey checks that an error names a key.
+func requireKey(t *testing.T, err error, key string) {
+	t.Helper()
+	var e *config.KeyError
+	require.True(t, errors.As(err, &e), "%v", err)
+	require.Equal(t, key, e.Key, e.Reason)
+	require.NotEmpty(t, e.Reason)
+}
+
+func TestParseDocument(t *testing.T) {
+	d := parse(t, document)
+	require.Equal(t, "127.0.0.1:8500", d.Discovery)
+	require.Equal(t, 9, d.OpenCap)
+	require.Equal(t, []float64{1, 2, 1, 0.5}, []float64{d.Classes[0].Aim, d.Classes[0].Deadline, d.Classes[0].Worth,
+		d.Classes[0].LateWorth})
+	change := d.Change()
+	require.Equal(t, d.Classes, change.Classes)
+	require.Equal(t, d.OpenCap, change.OpenCap)
+}
+
+// The document of the file that a broker was started with is the one that says the same.
+func TestTheDocumentOfTheStart(t *testing.T) {
+	for _, c := range []struct {
+		env  map[string]string
+		want string
+	}{{nil, "127.0.0.1:8500"}, {map[string]string{"PROXY_DISCOVERY": "127.0.0.1:9"}, "127.0.0.1:9"}} {
+		file := strings.Replace(document, `{"discovery"`, `{"listen":"127.0.0.1:1","discovery"`, 1)
+		loaded, err := load(t, file, c.env)
+		require.NoError(t, err)
+		start, err := loaded.Document()
+		require.NoError(t, err)
+		require.Equal(t, c.want, start.Discovery)
+		require.Equal(t, loaded.Settings.Classes, start.Classes)
+		require.Equal(t, loaded.OpenCap, start.OpenCap)
+		require.NoError(t, parse(t, document).Changes(start))
+		require.NoError(t, start.Changes(parse(t, document)))
+	}
+}
+
+func TestBadDocumentsAreRefusedByKey(t *testing.T) {
+	for _, c := range []struct{ old, new, key string }{
+		{document, ``, "document"},
+		{document, `null`, "document"},
+		{document, `[]`, "document"},
+		{document, `"x"`, "document"},
+		{document, document + `{}`, "document"},
+		{document, document + ` x`, "document"},
+		{document, `{"settings":`, "document"},
+		{document, document + strings.Repeat(" ", config.DocumentMost), "document"},
+		{document, strings.Repeat("[", 9000) + strings.Repeat("]", 9000), "document"},
+		{document, strings.Repeat("[", 20000) + strings.Repeat("]", 20000), "document"},
+		{`{"discovery":`, `{"listen":"127.0.0.1:1","discovery":`, "listen"},
+		{`{"discovery":`, `{"Discovery":`, "Discovery"},
+		{`{"discovery":"127.0.0.1:8500",`, `{`, "discovery"},
+		{`"127.0.0.1:8500"`, `"x"`, "discovery"},
+		{`"127.0.0.1:8500"`, `7`, "discovery"},
+		{`"127.0.0.1:8500"`, `"127.0.0.1:1","discovery":"127.0.0.1:2"`, "discovery"},
+		{`"127.0.0.1:8500"`, `"127.0.0.1:1","DISCOVERY":"127.0.0.1:2"`, "DISCOVERY"},
+		{`"settings":{`, `"odd":{`, "odd"},
+		{`{"discovery":`, `{"":1,"discovery":`, "document"},
+		{`{"discovery":"127.0.0.1:8500","settings"`, `{"discovery":"127.0.0.1:8500","settings":0,"settings"`, "settings"},
+		{`"openCap":9`, `"openCap":9,"openCap":9`, "settings.caps.openCap"},
+		{`"openCap":9`, `"openCap":9,"opencap":8`, "settings.caps.opencap"},
+		{`"openCap":9`, `"openCap":9,"open\u0043ap":8`, "settings.caps.openCap"},
+		{`"sendCap":4`, `"sendCap":4,"ſendCap":4`, "settings.caps.ſendCap"},
+		{`"racks":[1,2]`, `"racks":[1,{"a":1,"a":2}]`, "settings.site.racks[1].a"},
+		{`"name":"d"`, `"name":"d","worth":1,"worth":2`, "settings.classes[1].worth"},
+		{`"openCap":9`, `"openCap":-9`, "settings.caps.openCap"},
+		{`"openCap":9`, `"openCap":9.5`, "settings"},
+		{`"deadlineS":3`, `"deadlineS":0`, "settings.classes[1].deadlineS"},
+		{`"deadlineS":3`, `"deadlineS":1e7`, "settings.classes[1].deadlineS"},
+		{`"deadlineS":3`, `"deadlineS":1e999`, "settings"},
+		{`"deadlineS":3`, `"deadlineS":NaN`, "document"},
+		{`"objectiveS":1,"worth"`, `"objectiveS":-1,"worth"`, "settings.classes[0].objectiveS"},
+		{`"name":"d"`, `"name":"c"`, "settings.classes[1].name"},
+		{`"semantics":"guarded"`, `"semantics":"odd"`, "settings"},
+		{`"cells":4`, `"cells":0`, "settings.familyInfo.cells"},
+	} {
+		require.Contains(t, document, c.old)
+		_, err := config.ParseDocument([]byte(strings.Replace(document, c.old, c.new, 1)))
+		require.Error(t, err, c.new)
+		requireKey(t, err, c.key)
+	}
+}
+
+// What may change in service does, in any way; the rest is refused by the first key that differs.
+func TestChanges(t *testing.T) {
+	for _, c := range []struct{ old, new, key string }{
+		{document, document, ""},
+		{`"127.0.0.1:8500"`, `"127.0.0.1:8501"`, ""},
+		{`"openCap":9`, `"openCap":0`, ""},
+		{`"openCap":9,`, ``, ""},
+		{`"deadlineS":2,"objectiveS":1,"worth":1,"lateWorth":0.5`, `"deadlineS":4,"objectiveS":3,"worth":2,"lateWorth":0`, ""},
+		{`"deadlineS":2,"objectiveS":1,"worth":1,"lateWorth":0.5`, `"deadlineS":4`, ""},
+		{`"deadlineS":3,"objectiveS":1`, `"deadlineS":3,"objectiveS":1,"worth":7,"lateWorth":0.1`, ""},
+		{`"windowS":2`, `"windowS":2.0`, ""},
+		{`"windowS":2`, `"windowS":20e-1`, ""},
+		{`"racks":[1,2]`, "\"racks\" : [ 1,\n2 ]", ""},
+
+		{`"name":"d"`, `"name":"e"`, "settings.classes[1].name"},
+		{`"semantics":"guarded"`, `"semantics":"free"`, "settings.classes[1].semantics"},
+		{`"semantics":"guarded",`, ``, "settings.classes[1].semantics"},
+		{`"windowS":2`, `"windowS":3`, "settings.classes[1].windowS"},
+		{`"windowS":2`, `"windowS":2,"aimStretch":1`, "settings.classes[1].aimStretch"},
+		{`"windowS":2}`, `"windowS":2},{"name":"e","deadlineS":1}`, "settings.classes"},
+		{`"cells":4`, `"cells":5`, "settings.familyInfo.cells"},
+		{`"familyInfo":{"cells":4,`, `"familyInfo":{"cells":4,"classFloor":[1],`, "settings.familyInfo.classFloor"},
+		{`"sendCap":4`, `"sendCap":5`, "settings.caps.sendCap"},
+		{`"zones":["a","b"]`, `"zones":["b","a"]`, "settings.zones[0]"},
+		{`"zones":["a","b"]`, `"zones":["a","b","c"]`, "settings.zones"},
+		{`"zones":["a","b"]`, `"zones":null`, "settings.zones"},
+		{`"racks":[1,2]`, `"racks":[1,3]`, "settings.site.racks[1]"},
+		{`"racks":[1,2]`, `"racks":{"1":2}`, "settings.site.racks"},
+		{`"racks":[1,2]`, `"racks":[1,"2"]`, "settings.site.racks[1]"},
+		{`"racks":[1,2]`, `"racks":[1,2],"unread":true`, "settings.site.unread"},
+		{`{"name":"bern","racks":[1,2]}`, `null`, "settings.site"},
+		{`"site":{"name":"bern","racks":[1,2]},`, ``, "settings.site"},
+	} {
+		require.Contains(t, document, c.old)
+		was, is := parse(t, document), parse(t, strings.Replace(document, c.old, c.new, 1))
+		for _, err := range []error{is.Changes(was), was.Changes(is)} {
+			if c.key == "" {
+				require.NoError(t, err, c.new)
+			} else {
+				requireKey(t, err, c.key)
+			}
+		}
+	}
+	large := strings.Replace(document, `[1,2]`, `[9007199254740993]`, 1)
+	larger := strings.Replace(document, `[1,2]`, `[9007199254740992]`, 1)
+	requireKey(t, parse(t, larger).Changes(parse(t, large)), "settings.site.racks[0]")
+}
+
+// Of several differences the first by key is named, whatever the order in the text.
+func TestTheFirstKeyIsNamed(t *testing.T) {
+	is := strings.NewReplacer(`"cells":4`, `"cells":5`, `"sendCap":4`, `"sendCap":5`, `"windowS":2`, `"windowS":3`).
+		Replace(document)
+	for range 20 {
+		requireKey(t, parse(t, is).Changes(parse(t, document)), "settings.caps.sendCap")
+	}
+}
+
+// file is PROXY_CONFIG with a document's discovery and settings.
+func file(t testing.TB, tree map[string]any) (*config.Config, error) {
+	all := map[string]any{"listen": "127.0.0.1:1"}
+	for key, value := range tree {
+		all[key] = value
+	}
+	text, err := json.Marshal(all)
+	require.NoError(t, err)
+	path := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(path, text, 0o600))
+	return config.Load(func(key string) string { return map[string]string{"PROXY_CONFIG": path}[key] })
+}
+
+// A document that is taken loads as a file's discovery and settings, with the same classes and cap; and what a file
+// loads is taken as a document.
+func FuzzDocument(f *testing.F) {
+	f.Add([]byte(document))
+	for _, r := range [][2]string{{`"deadlineS":3`, `"deadlineS":-3`}, {`"openCap":9`, `"openCap":null`}, {`"c"`, `"d"`},
+		{`"zones"`, `"zones":[],"zones"`}, {`"cells":4`, `"cells":4.5`}, {`"site":{`, `"report":{"how":"pull"},"site":{`},
+		{`"sendCap":4`, `"sendCap":4,"secondCopies":true`}, {`127.0.0.1:8500`, `\ud800:1`}} {
+		f.Add([]byte(strings.Replace(document, r[0], r[1], 1)))
+	}
+	f.Add([]byte(`{"":{"":{"":0,"":0}}}`))
+	start, err := config.ParseDocument([]byte(document))
+	require.NoError(f, err)
+	f.Fuzz(func(t *testing.T, text []byte) {
+		d, refusal := config.ParseDocument(text)
+		var e *config.KeyError
+		if refusal != nil && (!errors.As(refusal, &e) || e.Key == "") {
+			t.Fatalf("%v names no key", refusal)
+		}
+		var tree map[string]any
+		in := json.NewDecoder(bytes.NewReader(text))
+		in.UseNumber()
+		if in.Decode(&tree) != nil {
+			require.Error(t, refusal)
+			return
+		}
+		if refusal == nil {
+			require.NoError(t, d.Changes(d))
+			if other := d.Changes(start); other == nil {
+				require.Len(t, d.Classes, len(start.Classes))
+				require.NoError(t, start.Changes(d))
+			}
+		}
+		canonical := map[string]any{"discovery": tree["discovery"], "settings": tree["settings"]}
+		loaded, wrong := file(t, canonical)
+		if refusal == nil {
+			require.NoError(t, wrong)
+			require.Equal(t, fmt.Sprint(loaded.Settings.Classes), fmt.Sprint(d.Classes))
+			require.Equal(t, loaded.OpenCap, d.OpenCap)
+			require.Equal(t, loaded.Discovery, d.Discovery)
+			return
+		}
+		if wrong == nil && len(tree) == len(canonical) && !twice(canonical) {
+			again, err := json.Marshal(canonical)
+			require.NoError(t, err)
+			if len(again) <= config.DocumentMost {
+				_, err = config.ParseDocument(again)
+				require.NoError(t, err)
+			}
+		}
+	})
+}
+
+// twice tells whether two keys of an object are alike but for the case of letters.
+func twice(tree any) bool {
+	switch tree := tree.(type) {
+	case map[string]any:
+		for a, value := range tree {
+			for b := range tree {
+				if a != b && strings.EqualFold(a, b) {
+					return true
+				}
+			}
+			if twice(value) {
+				return true
+			}
+		}
+	case []any:
+		for _, value := range tree {
+			if twice(value) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/cores/cores.go
+++ b/internal/cores/cores.go
@@ -42,6 +42,8 @@
 	failed  chan struct{} // closed when a worker has died
 	once    sync.Once
 
+	configuring sync.Mutex // held while a change comes into force: all workers take changes in one order
+
 	mu    sync.Mutex // guards names, rng and the loads' Open and Dead
 	names *placement.Names
 	loads []placement.Load
--- a/internal/flight/front.go
+++ b/internal/flight/front.go
@@ -31,10 +31,9 @@
 
 // Options are what the deployment fixes.
 type Options struct {
-	Classes  map[string]int  // class by name
-	Patience []time.Duration // by class: how long a client waits that sets no deadline
-	Shards   int             // 0: not told
-	ConnsMax int             // connections held at most
+	Classes  map[string]int // class by name
+	Shards   int            // 0: not told
+	ConnsMax int            // connections held at most
 }
 
 const (
@@ -102,11 +101,11 @@
 		return nil, nil, status.Errorf(codes.NotFound, "class: no class of query is named %q", t.Class)
 	}
 	r := &broker.Request{
-		ID: t.ID, Class: class, Retry: t.Retry, Arrived: now, Patience: f.opt.Patience[class],
+		ID: t.ID, Class: class, Retry: t.Retry, Arrived: now, Unstated: true,
 		Text: []byte(t.Query),
 	}
 	if d, ok := ctx.Deadline(); ok {
-		r.Patience = d.Sub(now)
+		r.Patience, r.Unstated = d.Sub(now), false
 	}
 	if r.Parts, err = t.Parts(); err == nil {
 		err = r.Check(f.opt.Shards)
--- a/internal/lease/count.go
+++ b/internal/lease/count.go
@@ -6,16 +6,24 @@
 // descriptors. Workers draw on one counter: what one does not use, another may, and the sum is exact at any time.
 // It may be used by several goroutines.
 type Count struct {
-	whole int64
+	whole atomic.Int64
 	used  atomic.Int64
 }
 
 // NewCount returns a budget of so many units; 0: it has no bound.
-func NewCount(whole int) *Count { return &Count{whole: int64(whole)} }
+func NewCount(whole int) *Count {
+	c := &Count{}
+	c.Resize(whole)
+	return c
+}
+
+// Resize changes the budget; 0: it has no bound. What is held beyond a smaller one stays held, and none is taken until
+// enough of it has been given back.
+func (c *Count) Resize(whole int) { c.whole.Store(int64(whole)) }
 
 // Take takes n units, all or nothing.
 func (c *Count) Take(n int) bool {
-	if c.used.Add(int64(n)) > c.whole && c.whole > 0 {
+	if whole := c.whole.Load(); c.used.Add(int64(n)) > whole && whole > 0 {
 		c.used.Add(-int64(n))
 		return false
 	}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -158,3 +158,21 @@
 		}
 	}
 }
+
+// A budget that shrinks takes nothing back, and one that grows, or loses its bound, holds at once.
+func TestCountIsResized(t *testing.T) {
+	c := lease.NewCount(10)
+	require.True(t, c.Take(8))
+	c.Resize(5)
+	require.False(t, c.Take(1))
+	c.Give(4)
+	require.True(t, c.Take(1))
+	require.False(t, c.Take(1))
+	c.Resize(7)
+	require.True(t, c.Take(2))
+	require.False(t, c.Take(1))
+	c.Resize(0)
+	require.True(t, c.Take(1_000))
+	c.Resize(7)
+	require.False(t, c.Take(1))
+}
