--- a/cmd/mothrouter/control.go
+++ b/cmd/mothrouter/control.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -33,6 +33,7 @@
 		}
 		ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 		defer cancel()
+		signal.Ignore(syscall.SIGXFSZ) // a write beyond a limit on files then fails like one on a full disk
 		return runControl(ctx, file, *create)
 	}
 	return c
@@ -69,10 +70,30 @@
 	return l, nil
 }
 
-// validateDocument checks a document and compares it with the newest revision's.
-func validateDocument(document, _ []byte) *configpb.Refusal {
-	if !json.Valid(document) {
-		return &configpb.Refusal{Key: "document", Reason: "is no JSON"}
+// validateDocument checks a document and compares it with the newest revision's, nil where there is none.
+func validateDocument(document, newest []byte) *configpb.Refusal {
+	next, err := config.ParseDocument(document)
+	if err != nil {
+		return refusal(err)
+	}
+	if newest == nil {
+		return nil
+	}
+	before, err := config.ParseDocument(newest)
+	if err != nil { // taken by another release of this program: brokers compare with what they serve by
+		return nil
+	}
+	return refusal(next.Changes(before))
+}
+
+// refusal is an error of the configuration by the key at fault, or nil.
+func refusal(err error) *configpb.Refusal {
+	if err == nil {
+		return nil
+	}
+	var fault *config.KeyError
+	if errors.As(err, &fault) {
+		return &configpb.Refusal{Key: fault.Key, Reason: fault.Reason}
 	}
-	return nil
+	return &configpb.Refusal{Key: "document", Reason: err.Error()}
 }
--- a/cmd/mothrouter/main.go
+++ b/cmd/mothrouter/main.go
@@ -183,7 +183,7 @@
 			return fmt.Errorf("flight.listen: %w", err)
 		}
 		flights = flight.NewFront(flight.Options{
-			Classes: cfg.Classes, Patience: cfg.Patience(), Shards: cfg.Shards,
+			Classes: cfg.Classes, Shards: cfg.Shards,
 			ConnsMax: partners.Connections,
 		}, &drained{core, clients.Refuses, cfg.Advice()})
 		go func() { served <- flights.Serve(l, log) }()
--- /dev/null
+++ b/internal/controlserver/replica_test.go
@@ -0,0 +1,58 @@
+package controlserver
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.etcd.io/raft/v3/raftpb"
+
+	"mothrouter/internal/confighub"
+	"mothrouter/internal/configpb"
+	"mothrouter/internal/consensus"
+	"mothrouter/internal/raftlog"
+)
+
+var errDisk = errors.New("the disk fails")
+
+// failingStorage is a log whose disk fails once it is told to.
+type failingStorage struct {
+	*raftlog.Log
+	fails chan struct{} // closed: from now on
+}
+
+func (f *failingStorage) Save(state *raftpb.HardState, entries []*raftpb.Entry, snapshot *raftpb.Snapshot) error {
+	select {
+	case <-f.fails:
+		return errDisk
+	default:
+		return f.Log.Save(state, entries, snapshot)
+	}
+}
+
+// What cannot be stored is not acknowledged, and stops the replica with the reason.
+func TestReplicaStopsWhereItsDiskFails(t *testing.T) {
+	log, err := raftlog.Create(t.TempDir()+"/"+LogName, raftlog.Options{Identity: raftlog.Identity{Fleet: 1, Node: 1}},
+		consensus.StartSnapshot([]uint64{1}, nil))
+	require.NoError(t, err)
+	defer log.Close()
+	disk := &failingStorage{log, make(chan struct{})}
+	node, err := consensus.New(consensus.Options{ID: 1, Members: []uint64{1}}, disk, time.Now())
+	require.NoError(t, err)
+	r := newReplica(node, disk, confighub.New(quiet()), quiet())
+	r.nameOf = func(uint64) string { return "x" }
+	ended := make(chan error, 1)
+	go func() { ended <- r.run(t.Context()) }()
+	p := newPublisher(1, r, refuseBad)
+	publish := func(request uint64) error {
+		_, err := p.publish(t.Context(), &configpb.PublishRequest{Request: request, Document: []byte("one")})
+		return err
+	}
+	require.Eventually(t, func() bool { return publish(1) == nil }, patience, 20*time.Millisecond)
+	close(disk.fails)
+	require.Error(t, publish(2))
+	require.ErrorIs(t, <-ended, errDisk)
+	require.Equal(t, uint64(1), node.Machine().Number())
+	require.Error(t, publish(3), "a replica that has stopped takes nothing")
+}
