--- a/internal/flight/deadline_test.go
+++ b/internal/flight/deadline_test.go
@@ -50,7 +50,7 @@
 		go b.Run(running)
 		b.Update(broker.List{Mode: decision.ListFull, Servers: []broker.ListEntry{
 			{Addr: "s0", Server: decision.Server{ID: "s0", State: decision.Ready}}}})
-		front := NewFront(Options{Classes: map[string]int{"charge-post": 0}, Patience: make([]time.Duration, 1)}, b)
+		front := NewFront(Options{Classes: map[string]int{"charge-post": 0}}, b)
 		text, err := json.Marshal(Ticket{ID: "q1", Class: "charge-post", Body: httpwire.Body{
 			Query: "x", Targets: []httpwire.Target{{Share: 1}}}})
 		require.NoError(t, err)
