--- a/internal/broker/query.go
+++ b/internal/broker/query.go
@@ -119,7 +119,7 @@
 	}
 	b.guard(q)
 	b.tell(decision.Query{
-		ID: q.id, Number: int64(q.id), Class: r.Class, Parts: len(r.Parts),
+		ID: q.id, Number: int64(q.id), Class: r.Class, Key: r.Key, Parts: len(r.Parts),
 		Deadline: b.clock.at(q.deadline), Retry: r.Retry, Work: work,
 		Came: b.clock.at(r.Arrived),
 	})
--- a/internal/broker/request.go
+++ b/internal/broker/request.go
@@ -12,6 +12,7 @@
 type Request struct {
 	ID       string // the client's name for it
 	Class    int
+	Key      uint64 // what it is about; 0: not told
 	Retry    bool
 	Arrived  time.Time
 	Patience time.Duration // how long the client waits
--- a/internal/cores/cores_test.go
+++ b/internal/cores/cores_test.go
@@ -39,6 +39,7 @@
 	usage = iota
 	charge
 	report
+	docket // with a second step of two parts
 )
 
 func settings(servers int, warmUp float64) decision.Settings {
@@ -49,12 +50,13 @@
 		Classes: []decision.Class{
 			{Aim: 1, Deadline: 2, Worth: 1, Need: 1, Floor: 1},
 			{Aim: 1, Deadline: 2, Worth: 2, Need: 1, Floor: 1, Repeat: decision.RepeatUnsafe},
-			{Aim: 1, Deadline: 2, Worth: 3, Need: 1, Floor: 0.8, LateWorth: 0.1}},
+			{Aim: 1, Deadline: 2, Worth: 3, Need: 1, Floor: 0.8, LateWorth: 0.1},
+			{Aim: 1, Deadline: 2, Worth: 3, Need: 1, Floor: 1, SecondStep: 2}},
 	}
 }
 
 func newRig(t *testing.T, o rigOptions) *rig {
-	fleet, err := standin.New(standin.Options{Servers: o.servers, Reach: 2, Work: o.work, Seed: 1,
+	fleet, err := standin.New(standin.Options{Servers: o.servers, Reach: 2, Work: o.work, Seed: 1, Second: 2,
 		Unsafe: func(id string) bool { return strings.HasPrefix(id, "charge") }})
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -89,7 +91,7 @@
 // request makes a query of parts at shards in a row.
 func (r *rig) request(class, shard, parts int) *broker.Request {
 	n := r.next.Add(1)
-	q := &broker.Request{ID: fmt.Sprintf("%s%d", []string{"usage", "charge", "report"}[class], n), Class: class,
+	q := &broker.Request{ID: fmt.Sprintf("%s%d", []string{"usage", "charge", "report", "docket"}[class], n), Class: class,
 		Arrived: time.Now(), Patience: 1500 * time.Millisecond, Text: []byte("x")}
 	for i := range parts {
 		q.Parts = append(q.Parts, broker.Part{Shard: (shard + i) % len(r.fleet.Servers), Share: 1 / float64(parts)})
--- /dev/null
+++ b/internal/cores/second_step_test.go
@@ -0,0 +1,41 @@
+package cores
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mothrouter/internal/broker"
+	"mothrouter/internal/decision"
+)
+
+// Queries of two steps by one worker and by three, while servers fail, hang, drain and break their connections. The
+// stand-ins hold each part of a second step against what they have answered.
+func TestSecondStepsThroughTroubles(t *testing.T) {
+	for _, workers := range []int{1, 3} {
+		r := newRig(t, rigOptions{workers: workers, servers: 8, work: 2 * time.Millisecond})
+		go func() {
+			time.Sleep(200 * time.Millisecond)
+			r.fleet.Servers[0].Fail(0.5)
+			r.fleet.Servers[1].Break()
+			time.Sleep(200 * time.Millisecond)
+			r.fleet.Servers[5].Hang(true)
+			r.Update(broker.List{Mode: decision.ListDelta,
+				Servers: []broker.ListEntry{r.fleet.Servers[3].Entry(decision.Draining)}})
+			r.fleet.Servers[3].Drain()
+			time.Sleep(200 * time.Millisecond)
+			r.fleet.Servers[5].Hang(false)
+			r.fleet.Servers[0].Fail(0)
+		}()
+		ends := r.load(6, 1200*time.Millisecond, func(client, n int) *broker.Request {
+			return r.request(docket, client+n, 5)
+		})
+		require.Greater(t, ends[broker.Answered], 9*(ends[broker.Refused]+ends[broker.Overdue]+ends[broker.Failed]))
+	}
+	r := newRig(t, rigOptions{workers: 2, servers: 8, work: time.Millisecond})
+	res := r.ask(r.request(docket, 0, 5))
+	require.Equal(t, broker.Answered, res.Outcome)
+	require.True(t, res.Whole)
+	require.Len(t, res.Values, 2)
+}
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -96,3 +96,34 @@
 		lines(in, 512)
 	})
 }
+
+// A query's key comes as the parameter obj. Keys are only compared, so that any text is one.
+func TestQueryKey(t *testing.T) {
+	key := func(target string) (uint64, error) {
+		var d httpwire.RequestReader
+		text := "POST " + target + " HTTP/1.1\r\nX-Request-Id: q\r\nX-Deadline: 10m\r\nContent-Length: 2\r\n\r\n{}"
+		d.Filled(copy(d.Space(), text))
+		r, err := d.Next()
+		require.NoError(t, err)
+		require.Equal(t, "c", r.Class())
+		q, err := httpwire.ParseQuery(r)
+		if err != nil {
+			return 0, err
+		}
+		return q.Key, nil
+	}
+	for target, want := range map[string]uint64{
+		"/c": 0, "/c?": 0, "/c?obj=": 0, "/c?other=1": 0,
+		"/c?obj=7f3a9c21e0b4d655": 0x7f3a9c21e0b4d655, "/c?a=b&obj=ff": 0xff,
+	} {
+		got, err := key(target)
+		require.NoError(t, err, target)
+		require.Equal(t, want, got, target)
+	}
+	one, _ := key("/c?obj=case%2017")
+	other, _ := key("/c?obj=case%2018")
+	require.NotZero(t, one)
+	require.NotEqual(t, one, other)
+	_, err := key("/c?obj=%zz")
+	require.Error(t, err)
+}
--- a/internal/httpwire/query.go
+++ b/internal/httpwire/query.go
@@ -4,10 +4,13 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"mothrouter/internal/broker"
 )
 
@@ -64,10 +67,30 @@
 	if q.Parts, err = body.Parts(); err != nil {
 		return nil, malformed("%v", err)
 	}
+	if q.Key, err = parseKey(r.Query); err != nil {
+		return nil, err
+	}
 	q.Text = []byte(body.Query)
 	return q, nil
 }
 
+// parseKey reads the key of a query from a request's parameters: what it is about. 0: there is none. Keys are hex
+// digits on the platform; any other is as good, since keys are only compared.
+func parseKey(parameters string) (uint64, error) {
+	values, err := url.ParseQuery(parameters)
+	if err != nil {
+		return 0, malformed("the path's parameters: %v", err)
+	}
+	key := values.Get("obj")
+	if key == "" {
+		return 0, nil
+	}
+	if n, err := strconv.ParseUint(key, 16, 64); err == nil {
+		return n, nil
+	}
+	return xxhash.Sum64String(key), nil
+}
+
 // parseDeadline reads a time as the platform writes it: a number, then m for milliseconds or u for
 // microseconds.
 func parseDeadline(s string) (time.Duration, error) {
--- a/internal/httpwire/request.go
+++ b/internal/httpwire/request.go
@@ -8,6 +8,7 @@
 // Request is one request of a client. Body is a slice of the reader's buffer.
 type Request struct {
 	Method, Path string
+	Query        string // behind the path's "?", as it came
 	Header       textproto.MIMEHeader
 	Body         []byte
 	Close        bool // the client ends the connection after it
@@ -96,8 +97,8 @@
 		return err
 	}
 	d.length = max(d.length, 0) // a request without either has no body
-	path, _, _ := strings.Cut(target, "?")
-	d.req = &Request{Method: method, Path: path, Header: h.header, Close: h.closes(version)}
+	path, query, _ := strings.Cut(target, "?")
+	d.req = &Request{Method: method, Path: path, Query: query, Header: h.header, Close: h.closes(version)}
 	d.from, d.bodyEnd, d.chunks = d.buf.r, d.buf.r, chunks{}
 	d.expects = version == "HTTP/1.1" && strings.EqualFold(h.header.Get("Expect"), "100-continue")
 	return nil
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"mothrouter/internal/broker"
 	"mothrouter/internal/decision"
 	"mothrouter/internal/frame"
@@ -30,6 +32,7 @@
 	Work    time.Duration // mean time of a part
 	Unsafe  func(id string) bool
 	Seed    uint64
+	Second  int // parts of a second step; 0: no class has one
 }
 
 // Fleet is the record servers with the ledger of what they saw.
@@ -39,6 +42,7 @@
 
 	mu     sync.Mutex
 	parts  map[string]*seen
+	done   map[string]map[int]bool // by query, the shards whose first step was answered
 	broken []string
 	total  int
 }
@@ -48,6 +52,11 @@
 	ran int // and that have run or may have
 }
 
+// Score is the score that a stand-in gives the part of a query at a shard.
+func Score(query string, shard int) int64 {
+	return int64(xxhash.Sum64String(frame.PartID(query, shard, false)) >> 33)
+}
+
 // Server is one record server.
 type Server struct {
 	ID   string
@@ -70,7 +79,7 @@
 
 // New starts a fleet. Close ends it.
 func New(opt Options) (*Fleet, error) {
-	f := &Fleet{opt: opt, parts: map[string]*seen{}}
+	f := &Fleet{opt: opt, parts: map[string]*seen{}, done: map[string]map[int]bool{}}
 	for i := range opt.Servers {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -236,11 +245,14 @@
 				stop := make(chan struct{})
 				cancels[id] = stop
 				begin := s.take(id, shard)
+				s.f.checkSecondStep(id, shard, fields[2])
 				work.Go(func() {
 					if end, ok := s.run(id, begin, stop); ok {
+						s.f.answered(id, shard, end)
+						score := strconv.FormatInt(Score(queryOf(id, shard), shard), 10)
 						out.Lock()
 						defer out.Unlock()
-						c.Write(frame.Append(nil, 'R', id+" "+end+" 1 inflight=1,util=0.3\nv"))
+						c.Write(frame.Append(nil, 'R', id+" "+end+" "+score+" inflight=1,util=0.3\nv"))
 					}
 				})
 			case 'C':
