--- /dev/null
+++ b/internal/scale/child.go
@@ -0,0 +1,221 @@
+package scale
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"mothrouter/internal/broker"
+	"mothrouter/internal/decision"
+	"mothrouter/internal/standin"
+)
+
+// A child is this program's second process, so that the far side's processor time and memory are not counted with the
+// near side's. It ends when its standard input does.
+const (
+	childRole     = "SCALE_CHILD"
+	childSize     = "SCALE_CHILD_SIZE"
+	roleServers   = "record-servers"
+	roleDiscovery = "discovery"
+	childReady    = "ready"
+	childStart    = 30 * time.Second // it must be ready within
+	connectHead   = 4096             // bytes of a request's head that are read at most
+)
+
+// ServeChild is the child's main: it returns false at once in a process that is none.
+func ServeChild() (bool, error) {
+	size, err := strconv.Atoi(os.Getenv(childSize))
+	switch os.Getenv(childRole) {
+	case roleServers:
+		if err != nil {
+			return true, err
+		}
+		return true, serveRecords(size)
+	case roleDiscovery:
+		if err != nil {
+			return true, err
+		}
+		return true, serveDiscovery(size)
+	}
+	return false, nil
+}
+
+func serveRecords(servers int) error {
+	f, err := standin.New(standin.Options{Servers: servers, Reach: AssumedReach, Work: childWork, Seed: 1})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	for _, s := range f.Servers {
+		fmt.Println(s.Addr)
+	}
+	fmt.Println(childReady)
+	_, err = io.Copy(io.Discard, os.Stdin)
+	return err
+}
+
+// childWork is what the stand-ins work on a part: little, since many share the machine.
+const childWork = 2 * time.Millisecond
+
+// child is such a process.
+type child struct {
+	cmd   *exec.Cmd
+	in    io.WriteCloser
+	lines []string // that it said before it was ready
+}
+
+func startChild(role string, size int) (*child, error) {
+	c := &child{cmd: exec.Command(os.Args[0])}
+	c.cmd.Env = append(os.Environ(), childRole+"="+role, childSize+"="+strconv.Itoa(size))
+	c.cmd.Stderr = os.Stderr
+	var err error
+	if c.in, err = c.cmd.StdinPipe(); err != nil {
+		return nil, err
+	}
+	out, err := c.cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := c.cmd.Start(); err != nil {
+		return nil, err
+	}
+	timer := time.AfterFunc(childStart, func() { c.in.Close() })
+	defer timer.Stop()
+	for said := bufio.NewScanner(out); said.Scan(); {
+		if said.Text() == childReady {
+			return c, nil
+		}
+		c.lines = append(c.lines, said.Text())
+	}
+	c.in.Close()
+	return nil, errors.Join(errors.New("scale: a child was not ready"), c.cmd.Wait())
+}
+
+// stop ends the child and returns its processor time.
+func (c *child) stop() (time.Duration, error) {
+	c.in.Close()
+	err := c.cmd.Wait()
+	return c.cmd.ProcessState.UserTime() + c.cmd.ProcessState.SystemTime(), err
+}
+
+// change asks a stand-in for discovery for its changes.
+func (c *child) change() error {
+	_, err := io.WriteString(c.in, "change\n")
+	return err
+}
+
+// entries are the child's record servers as discovery would tell them.
+func (c *child) entries() []broker.ListEntry {
+	list := make([]broker.ListEntry, len(c.lines))
+	for i, addr := range c.lines {
+		list[i] = broker.ListEntry{Addr: addr, Server: decision.Server{ID: serverID(i), Zone: i / cellsOfZone % TargetZones,
+			Cell: i, Capacity: 1}}
+	}
+	return list
+}
+
+// Of the stand-in for discovery.
+const (
+	changeEvery  = 100 * time.Millisecond
+	changesMost  = 20
+	listWithin   = 10 * time.Second // all watchers have the list
+	emptyEvery   = 2 * time.Second  // an empty line, as discovery sends
+	watchersMost = 4096
+)
+
+// serveDiscovery tells a list of so many servers to each watch and, once its parent has written a line, changes of one
+// server. A change's version is the time in Unix nanoseconds at which it was told.
+func serveDiscovery(servers int) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	defer l.Close()
+	fmt.Println(l.Addr())
+	fmt.Println(childReady)
+	d := &directory{whole: encodeList(servers, 1)}
+	go d.accept(l)
+	go d.keep()
+	in := bufio.NewReader(os.Stdin)
+	if _, err := in.ReadString('\n'); err != nil {
+		return nil // its parent has ended before it asked for changes
+	}
+	go d.change()
+	_, err = io.Copy(io.Discard, in)
+	return err
+}
+
+// directory is the stand-in for discovery.
+type directory struct {
+	whole []byte
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func (d *directory) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go d.greet(c)
+	}
+}
+
+func (d *directory) greet(c net.Conn) {
+	in := bufio.NewReaderSize(c, connectHead)
+	for {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			c.Close()
+			return
+		}
+		if strings.TrimSpace(line) == "" {
+			break
+		}
+	}
+	if _, err := c.Write(append([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"),
+		chunk(d.whole)...)); err != nil {
+		c.Close()
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.conns) < watchersMost {
+		d.conns = append(d.conns, c)
+	}
+}
+
+func chunk(text []byte) []byte { return fmt.Appendf(nil, "%x\r\n%s\r\n", len(text), text) }
+
+// change tells the changes.
+func (d *directory) change() {
+	for range changesMost {
+		time.Sleep(changeEvery)
+		d.tell(encodeChange(0, time.Now().UnixNano()))
+	}
+}
+
+// keep keeps the watches alive.
+func (d *directory) keep() {
+	for {
+		time.Sleep(emptyEvery)
+		d.tell([]byte("\n"))
+	}
+}
+
+func (d *directory) tell(text []byte) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range d.conns {
+		c.Write(chunk(text))
+	}
+}
--- /dev/null
+++ b/internal/scale/cold.go
@@ -0,0 +1,72 @@
+package scale
+
+import (
+	"math"
+	"math/rand/v2"
+
+	"mothrouter/internal/lease"
+)
+
+// What the settings of an example deployment tell of cold servers (deploy/example.json).
+const (
+	coldShare    = 0.2  // of its capacity a server starts with
+	warmUp       = 17.0 // seconds until it has all of it
+	fallMultiple = 2.5  // of what it then bears, over fallTime, and it falls over
+	fallTime     = 1.5  // seconds
+)
+
+const coldWindows = 400 // windows that are drawn
+
+func coldExperiment() Experiment {
+	return Experiment{
+		Name: "cold",
+		Provenance: Provenance{Real: "internal/lease (Bearing)",
+			Computed: "brokers that see even shares of the load, windows that begin together"},
+		Small: axis(axisBrokers, []float64{300}),
+		Large: axis(axisBrokers, brokerSizes),
+		Play:  playCold,
+	}
+}
+
+// playCold has every broker of a fleet learn its peak from its even share of the target's parts, and then draws what
+// all of them may send to one server that has just started.
+func playCold(at Sizes, seed uint64) ([]Reading, error) {
+	brokers := int(at.Of(axisBrokers))
+	rng := rand.New(rand.NewPCG(seed, 3))
+	rate := TargetQueries * TargetParts / float64(brokers) // parts a second of one broker
+	limits := lease.Limits{ColdShare: coldShare, WarmUp: warmUp, FallMultiple: fallMultiple, FallTime: fallTime,
+		Brokers: brokers}
+	const learn, step = 30.0, 2e-3 // seconds; answers of a step are booked together
+	bearings := make([]*lease.Bearing, brokers)
+	one := lease.NewBearing(limits, rng)
+	now := 0.0
+	for ; now < learn; now += step {
+		for range int(rate*step + rng.Float64()) {
+			one.Answered(now, TargetServers)
+		}
+	}
+	for i := range bearings { // all see the same load, so one broker's learning stands for all
+		copied := *one
+		bearings[i] = &copied
+	}
+	warmth := one.Warmth(now, now)
+	sum, most, each := 0.0, 0.0, 0.0
+	for range coldWindows {
+		window := 0.0
+		for _, b := range bearings {
+			room := b.Whole(warmth, rng.Float64(), now, TargetServers)
+			window += room
+			each += room
+		}
+		sum, most = sum+window, math.Max(most, window)
+	}
+	// The limit: what the server bears warm is at least its even share of the load.
+	bears := fallMultiple * warmth * fallTime * float64(TargetQueries*TargetParts) / TargetServers
+	return []Reading{
+		{"room of a broker", "parts a window", each / coldWindows / float64(brokers)},
+		{"sum of all brokers", "parts a window", sum / coldWindows},
+		{"largest sum", "parts a window", most},
+		{"limit", "parts a window", bears},
+		{"largest sum of the limit", "share", most / bears},
+	}, nil
+}
--- /dev/null
+++ b/internal/scale/decision.go
@@ -0,0 +1,194 @@
+package scale
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+
+	"mothrouter/internal/decision"
+)
+
+// Axes.
+const (
+	axisServers  = "servers"
+	axisParts    = "parts"
+	axisBrokers  = "brokers"
+	axisCut      = "cut_s"
+	axisInterval = "restart_interval_s"
+	axisFloor    = "floor"
+)
+
+var (
+	serverSizes = []float64{200, 500, 1000, 2300, TargetServers}
+	partSizes   = []float64{36, 100, TargetParts}
+	brokerSizes = []float64{40, 100, 300, TargetBrokers, 1200}
+)
+
+const (
+	cellsOfZone = 460 // servers a zone: a tenth of the target's
+	warmQueries = 60  // before anything is counted
+	countedLong = 300 // queries counted
+)
+
+// targetSettings are the module's settings at the target: each server is a cell, and a shard is held by three.
+func targetSettings(servers, brokers int) decision.Settings {
+	return decision.Settings{
+		Classes: []decision.Class{{Aim: TargetLatency, Deadline: 4 * TargetLatency, Worth: 1, Need: 1, Floor: 1}},
+		Brokers: brokers, Cells: servers, Reach: AssumedReach, BatchMax: 1, MaxAttempts: 4, Tick: 0.005,
+		ReportMode: decision.ReportPiggyback, MayCancel: true, MayProbe: true, RetryAfter: true, MaxWait: 0.5,
+		ColdShare: coldShare, WarmUp: warmUp, FallMultiple: fallMultiple, FallTime: fallTime,
+	}
+}
+
+func targetList(servers int) []decision.Server {
+	list := make([]decision.Server, servers)
+	for i := range list {
+		list[i] = decision.Server{ID: serverID(i), Zone: i / cellsOfZone % TargetZones, Cell: i, Capacity: 1}
+	}
+	return list
+}
+
+func serverID(i int) string { return fmt.Sprintf("record-%04d", i) }
+
+// client drives one decision module on virtual time: queries come evenly at the target's rate, parts are answered after
+// a while, and what falls into one batch is handed over together.
+type client struct {
+	module  *decision.Policy
+	rng     *rand.Rand
+	servers int
+	parts   int
+	now     float64
+	nextID  decision.RequestID
+	number  int64
+	due     dueParts
+	sent    map[decision.RequestID]int // attempts of a part so far
+
+	batches, sends, answers int
+}
+
+// duePart is an answer on its way.
+type duePart struct {
+	at    float64
+	ended decision.Ended
+}
+
+type dueParts []duePart
+
+func (d dueParts) Len() int           { return len(d) }
+func (d dueParts) Less(i, j int) bool { return d[i].at < d[j].at }
+func (d dueParts) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
+func (d *dueParts) Push(v any)        { *d = append(*d, v.(duePart)) }
+func (d *dueParts) Pop() any {
+	old := *d
+	last := old[len(old)-1]
+	*d = old[:len(old)-1]
+	return last
+}
+
+func newClient(servers, parts int, seed uint64) *client {
+	c := &client{module: decision.New(targetSettings(servers, TargetBrokers), seed),
+		rng: rand.New(rand.NewPCG(seed, 11)), servers: servers, parts: parts, now: 100,
+		sent: map[decision.RequestID]int{}}
+	c.handle([]decision.Event{decision.List{Mode: decision.ListFull, Version: 1, Servers: targetList(servers)}})
+	return c
+}
+
+// query is a query's events, over shards that lie side by side from a random one on.
+func (c *client) query() []decision.Event {
+	c.number++
+	c.nextID++
+	events := []decision.Event{decision.Query{ID: c.nextID, Number: c.number, Parts: c.parts,
+		Deadline: c.now + 4*TargetLatency}}
+	first := c.rng.IntN(c.servers)
+	for i := range c.parts {
+		c.nextID++
+		events = append(events, decision.Part{ID: c.nextID, Number: c.number, Shard: (first + i) % c.servers,
+			Weight: 1 / float64(c.parts)})
+	}
+	return events
+}
+
+// play runs so many queries and hands over a batch each AssumedBatch.
+func (c *client) play(queries int) {
+	step := 1 / QueriesABroker(TargetBrokers)
+	next := c.now
+	for c.answers = 0; c.answers < queries; {
+		c.now += AssumedBatch
+		var events []decision.Event
+		for len(c.due) > 0 && c.due[0].at <= c.now {
+			events = append(events, heap.Pop(&c.due).(duePart).ended)
+		}
+		for ; next <= c.now; next += step {
+			events = append(events, c.query()...)
+		}
+		if len(events) > 0 {
+			c.handle(events)
+		}
+	}
+}
+
+func (c *client) handle(events []decision.Event) {
+	c.batches++
+	for _, a := range c.module.Handle(c.now, events) {
+		switch a := a.(type) {
+		case decision.Send:
+			c.sends++
+			latency := AssumedWork * (0.5 + c.rng.Float64())
+			heap.Push(&c.due, duePart{c.now + latency, decision.Ended{ID: a.ID, Attempt: c.sent[a.ID], Server: a.Server,
+				Status: decision.OK, Latency: latency, Closed: true,
+				Load: decision.Load{InFlight: 1, Queue: -1, Busy: 0.3, Latency: -1, Rate: -1, ErrorRate: -1}}})
+			c.sent[a.ID]++
+		case decision.Answer:
+			c.answers++
+		}
+	}
+}
+
+func decisionExperiment() Experiment {
+	return Experiment{
+		Name:       "decision",
+		Provenance: Provenance{Real: "internal/decision", Virtual: "clock, record servers and clients"},
+		Small:      grid(axisServers, []float64{50, 100, 200}, axisParts, []float64{12}),
+		Large:      grid(axisServers, serverSizes, axisParts, partSizes),
+		Play:       playDecision,
+	}
+}
+
+func playDecision(at Sizes, seed uint64) ([]Reading, error) {
+	servers, parts := int(at.Of(axisServers)), int(at.Of(axisParts))
+	before := memoryInUse()
+	c := newClient(servers, parts, seed)
+	c.play(warmQueries)
+	counted := countedLong
+	if servers <= 200 && parts <= 12 {
+		counted = warmQueries
+	}
+	batches, sends := c.batches, c.sends
+	meter := Start()
+	c.play(counted)
+	used := meter.Stop()
+	batches, sends = c.batches-batches, c.sends-sends
+	held := memoryInUse() - before
+	empty := emptyBatch(c)
+	micros := used.Processor.Seconds() * 1e6 / float64(counted)
+	return []Reading{
+		{"processor a query", "µs", micros},
+		{"processor an empty batch", "µs", empty},
+		{"allocated a query", "bytes", float64(used.Allocated) / float64(counted)},
+		{"objects a query", "objects", float64(used.Objects) / float64(counted)},
+		{"sends a part", "sends", float64(sends) / float64(counted) / float64(parts)},
+		{"batches a query", "batches", float64(batches) / float64(counted)},
+		{"memory", "bytes", max(held, 1)},
+	}, nil
+}
+
+// emptyBatch is the processor time in µs of a batch without an event: what the module does once a batch.
+func emptyBatch(c *client) float64 {
+	const rounds = 400
+	meter := Start()
+	for range rounds {
+		c.now += 1e-6
+		c.module.Handle(c.now, nil)
+	}
+	return meter.Stop().Processor.Seconds() * 1e6 / rounds
+}
--- /dev/null
+++ b/internal/scale/deterministic_test.go
@@ -0,0 +1,79 @@
+package scale_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mothrouter/internal/scale"
+)
+
+// counts are the readings of a run that hang on the seed alone: neither processor time nor memory nor allocations.
+func counts(t *testing.T, name string, seed uint64) map[string][]float64 {
+	e, err := scale.Find(name)
+	require.NoError(t, err)
+	r, err := scale.Run(e, scale.Plan{Points: e.Small[:1], Repetitions: 1, Seed: seed, Commit: "test", Command: "go test"},
+		nil, time.Time{})
+	require.NoError(t, err)
+	kept := map[string][]float64{}
+	for _, m := range r.Points[0].Measures {
+		switch m.Unit {
+		case "s", "B/s", "B/s a broker", "1/s a broker", "sends", "batches", "parts a window", "share", "brokers a view":
+			kept[m.Name] = m.Values
+		}
+	}
+	require.NotEmpty(t, kept)
+	return kept
+}
+
+func TestEqualSeedsGiveEqualCounts(t *testing.T) {
+	for _, name := range []string{"decision", "membership", "faults", "cut", "restarts", "cold", "quantile"} {
+		require.Equal(t, counts(t, name, 3), counts(t, name, 3), name)
+	}
+	require.NotEqual(t, counts(t, "membership", 3), counts(t, "membership", 4), "the seed is of no use")
+}
+
+func TestARunGoesOnWhereItStopped(t *testing.T) {
+	played := 0
+	e := scale.Experiment{Name: "test", Provenance: scale.Provenance{Computed: "all"},
+		Play: func(at scale.Sizes, seed uint64) ([]scale.Reading, error) {
+			played++
+			return []scale.Reading{{Name: "cost", Unit: "µs", Value: at.Of("x") * float64(seed)}}, nil
+		}}
+	plan := scale.Plan{Points: []scale.Sizes{{{Axis: "x", Value: 2}}, {{Axis: "x", Value: 3}}}, Repetitions: 2, Seed: 1,
+		Commit: "c", Command: "c"}
+	r, err := scale.Run(e, plan, nil, time.Now().Add(-time.Second))
+	require.NoError(t, err)
+	require.ErrorIs(t, r.Check(), scale.ErrRecord)
+	path := t.TempDir() + "/state"
+	require.NoError(t, r.SaveState(path))
+	before, err := scale.LoadState(path)
+	require.NoError(t, err)
+	r, err = scale.Run(e, plan, before, time.Time{})
+	require.NoError(t, err)
+	require.Equal(t, 4, played)
+	require.Equal(t, []scale.Sample{{X: 2, Y: 2}, {X: 2, Y: 4}, {X: 3, Y: 3}, {X: 3, Y: 6}}, r.Samples("cost", "x"))
+	other := plan
+	other.Commit = "d"
+	_, err = scale.Run(e, other, r, time.Time{})
+	require.ErrorIs(t, err, scale.ErrRecord, "a run goes on at its own commit only")
+}
+
+func TestARecordThatLacksSomethingIsRefused(t *testing.T) {
+	e, err := scale.Find("quantile")
+	require.NoError(t, err)
+	r, err := scale.Run(e, scale.Plan{Points: e.Small, Repetitions: 1, Seed: 1, Commit: "c", Command: "c"}, nil, time.Time{})
+	require.NoError(t, err)
+	for name, spoil := range map[string]func(*scale.Record){
+		"commit":     func(r *scale.Record) { r.Commit = "" },
+		"machine":    func(r *scale.Record) { r.Machine = scale.Machine{} },
+		"provenance": func(r *scale.Record) { r.Provenance = scale.Provenance{} },
+		"values":     func(r *scale.Record) { r.Repetitions = 2 },
+	} {
+		spoilt := *r
+		spoil(&spoilt)
+		_, err := spoilt.Save(t.TempDir())
+		require.ErrorIs(t, err, scale.ErrRecord, name)
+	}
+}
--- /dev/null
+++ b/internal/scale/list.go
@@ -0,0 +1,217 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"mothrouter/internal/backoff"
+	"mothrouter/internal/broker"
+	"mothrouter/internal/decision"
+	"mothrouter/internal/discovery"
+)
+
+var (
+	names   = discovery.Names{Zones: zoneNames(), Kinds: []string{"record-large"}}
+	errSlow = errors.New("scale: not all came in time")
+	nobody  = slog.New(slog.NewTextHandler(io.Discard, nil))
+)
+
+func zoneNames() (list []string) {
+	for i := range TargetZones {
+		list = append(list, fmt.Sprintf("region-%d-zone-%d", i%TargetRegions, i))
+	}
+	return list
+}
+
+func entryOf(i int) discovery.Entry {
+	return discovery.Entry{ID: serverID(i), Addr: fmt.Sprintf("10.%d.%d.%d:9000", i>>16&255, i>>8&255, i&255),
+		Zone: names.Zones[i/cellsOfZone%TargetZones], Kind: names.Kinds[0], Cell: i, State: "active", Weight: 1,
+		StartedMS: 1_790_000_000_000 + float64(i)}
+}
+
+// encodeList is a whole list as discovery tells it.
+func encodeList(servers int, version int64) []byte {
+	m := discovery.Message{Version: version, Full: true}
+	for i := range servers {
+		m.Servers = append(m.Servers, entryOf(i))
+	}
+	return encode(m)
+}
+
+// encodeChange is one server's change.
+func encodeChange(server int, version int64) []byte {
+	return encode(discovery.Message{Version: version, Servers: []discovery.Entry{entryOf(server)}})
+}
+
+func encode(m discovery.Message) []byte {
+	text, err := json.Marshal(m)
+	if err != nil {
+		panic(err) // of plain fields: it cannot fail
+	}
+	return append(text, '\n')
+}
+
+func listExperiment() Experiment {
+	return Experiment{
+		Name: "list",
+		Provenance: Provenance{Real: "internal/discovery (Message, Names), internal/broker (Servers), internal/decision",
+			Virtual: "no socket"},
+		Small: axis(axisServers, []float64{50, 100, 200}),
+		Large: axis(axisServers, serverSizes),
+		Play:  playList,
+	}
+}
+
+// playList takes in a whole list and then changes of one server, as a broker does.
+func playList(at Sizes, seed uint64) ([]Reading, error) {
+	const wholes, changes = 6, 60
+	servers := int(at.Of(axisServers))
+	whole := encodeList(servers, 1)
+	module := decision.New(targetSettings(servers, TargetBrokers), seed)
+	known := broker.NewServers()
+	before := memoryInUse()
+	meter := Start()
+	for range wholes {
+		if err := takeList(whole, known, module); err != nil {
+			return nil, err
+		}
+	}
+	wholeCost := meter.Stop()
+	held := memoryInUse() - before
+	meter = Start()
+	for i := range changes {
+		if err := takeList(encodeChange(i%servers, int64(i+2)), known, module); err != nil {
+			return nil, err
+		}
+	}
+	changeCost := meter.Stop()
+	entries, _ := known.Count()
+	if entries != servers {
+		return nil, fmt.Errorf("scale: %d servers are known of %d", entries, servers)
+	}
+	return []Reading{
+		{"size of the list", "bytes", float64(len(whole))},
+		{"size of a change", "bytes", float64(len(encodeChange(0, 1)))},
+		{"processor for the list", "µs", wholeCost.Processor.Seconds() * 1e6 / wholes},
+		{"processor for a change", "µs", changeCost.Processor.Seconds() * 1e6 / changes},
+		{"allocated for the list", "bytes", float64(wholeCost.Allocated) / wholes},
+		{"memory", "bytes", max(held, 1)},
+	}, nil
+}
+
+// takeList is what a broker does with one object of the list.
+func takeList(text []byte, known *broker.Servers, module *decision.Policy) error {
+	var m discovery.Message
+	if err := json.Unmarshal(text, &m); err != nil {
+		return err
+	}
+	l, err := names.List(m)
+	if err != nil {
+		return err
+	}
+	known.Apply(l)
+	module.Handle(float64(m.Version), []decision.Event{l.Event()})
+	return nil
+}
+
+const watchServers = 500 // on the list of the many watchers: they share one machine's cores
+
+func watchExperiment() Experiment {
+	return Experiment{
+		Name: "watch",
+		Provenance: Provenance{Real: "internal/discovery (Watcher), listwatch and backoff over loopback",
+			Hollow: "brokers without clients; a stand-in for discovery in a process of its own, 500 servers on its list"},
+		Small: axis(axisBrokers, []float64{10}),
+		Large: axis(axisBrokers, brokerSizes),
+		Play:  playWatch,
+	}
+}
+
+// tally counts what watchers hear.
+type tally struct {
+	mu      sync.Mutex
+	wholes  int
+	changes int
+	late    []float64 // seconds from telling to hearing
+}
+
+func (t *tally) update(l broker.List) {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if l.Mode == decision.ListFull {
+		t.wholes++
+		return
+	}
+	t.changes++
+	t.late = append(t.late, now.Sub(time.Unix(0, l.Version)).Seconds())
+}
+
+// until waits for the counts to be what they should.
+func (t *tally) until(wholes, changes int, limit time.Duration) error {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		t.mu.Lock()
+		done := t.wholes >= wholes && t.changes >= changes
+		t.mu.Unlock()
+		if done {
+			return nil
+		}
+	}
+	return fmt.Errorf("%w: %d lists of %d, %d changes of %d", errSlow, t.wholes, wholes, t.changes, changes)
+}
+
+func playWatch(at Sizes, seed uint64) ([]Reading, error) {
+	brokers := int(at.Of(axisBrokers))
+	c, err := startChild(roleDiscovery, watchServers)
+	if err != nil {
+		return nil, err
+	}
+	defer c.in.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	t := &tally{}
+	before := memoryInUse()
+	meter := Start()
+	for i := range brokers {
+		w := &discovery.Watcher{Addr: c.lines[0], Names: names, Update: t.update, Log: nobody,
+			Waits: backoff.New(brokers, seed+uint64(i)*7919)}
+		go w.Run(ctx)
+	}
+	if err := t.until(brokers, 0, listWithin); err != nil {
+		return nil, err
+	}
+	start := meter.Stop()
+	held := memoryInUse() - before
+	meter = Start()
+	if err := c.change(); err != nil {
+		return nil, err
+	}
+	if err := t.until(brokers, brokers*changesMost, changesMost*changeEvery+listWithin); err != nil {
+		return nil, err
+	}
+	changes := meter.Stop()
+	cancel()
+	far, err := c.stop()
+	if err != nil {
+		return nil, err
+	}
+	slices.Sort(t.late)
+	each := float64(brokers)
+	return []Reading{
+		{"all have the list", "s", start.Wall.Seconds()},
+		{"processor for the list", "µs a broker", start.Processor.Seconds() * 1e6 / each},
+		{"processor for a change", "µs a broker", changes.Processor.Seconds() * 1e6 / each / changesMost},
+		{"memory", "bytes a broker", max(held/each, 1)},
+		{"a change has come to 99 in 100", "s", t.late[len(t.late)*99/100]},
+		{"a change has come to all", "s", t.late[len(t.late)-1]},
+		{"processor of the stand-in", "µs a broker", far.Seconds() * 1e6 / each},
+		{"lists told", "lists", float64(t.wholes)},
+	}, nil
+}
--- /dev/null
+++ b/internal/scale/membership.go
@@ -0,0 +1,265 @@
+package scale
+
+import (
+	"time"
+
+	"mothrouter/internal/membership"
+)
+
+const (
+	steadyFor   = 20 * time.Second  // over which ordinary traffic is counted
+	agreeWithin = 180 * time.Second // virtual time; a fleet that does not agree by then is told with it
+	faultFor    = 10 * time.Second  // over which the traffic after a fault is counted
+	restartFor  = 60 * time.Second
+	restartDown = time.Second // a process that is restarted is down for it
+	cutBrokers  = 40
+	rackLeast   = 4 // a rack is TargetRack machines, and never more than one in so many of the fleet
+)
+
+// membershipSizes end at 490: internal/membership holds membership.Most instances at most, those just restarted too.
+var membershipSizes = []float64{40, 100, 200, 300, membership.Most - 10}
+
+func virtualMembership(what string) Provenance {
+	return Provenance{Hollow: "internal/membership: brokers without clients",
+		Virtual: "network (1, 3 and 50 ms at most in a zone, in a region and between regions) and clock; " + what}
+}
+
+func membershipExperiment() Experiment {
+	return Experiment{
+		Name:       "membership",
+		Provenance: virtualMembership("processor time includes the virtual network's"),
+		Small:      axis(axisBrokers, []float64{10, 20, 30}),
+		Large:      axis(axisBrokers, membershipSizes),
+		Play:       playMembership,
+	}
+}
+
+// playMembership starts a fleet at once, lets it agree, and counts what it then costs.
+func playMembership(at Sizes, seed uint64) ([]Reading, error) {
+	brokers := int(at.Of(axisBrokers))
+	before := memoryInUse()
+	w := newNetwork(brokers, seed)
+	began, err := w.until(nil, agreeWithin)
+	if err != nil {
+		return nil, err
+	}
+	if err := w.run(w.now + faultFor); err != nil {
+		return nil, err
+	}
+	meter := Start()
+	t, err := w.count(steadyFor)
+	if err != nil {
+		return nil, err
+	}
+	used := meter.Stop()
+	seconds := steadyFor.Seconds() * float64(brokers)
+	held := memoryInUse() - before
+	readings := []Reading{
+		{"one view after a start at once", "s", max(began, 0.001)},
+		{"bytes sent", "B/s a broker", t.sentBytes},
+		{"bytes sent by the busiest", "B/s", t.sentMost},
+		{"datagrams sent", "1/s a broker", t.sentCount},
+		{"bytes received", "B/s a broker", t.heardBytes},
+		{"processor", "µs a broker and second", used.Processor.Seconds() * 1e6 / seconds},
+		{"objects", "objects a broker and second", float64(used.Objects) / seconds},
+		{"memory", "bytes a broker", max(held/float64(brokers), 1)},
+	}
+	_ = w.nodes[0].Count() // the network has to live until its memory was read
+	return readings, nil
+}
+
+func faultExperiment() Experiment {
+	return Experiment{
+		Name:       "faults",
+		Provenance: virtualMembership("a rack, a zone and single machines die at once and come back"),
+		Small:      axis(axisBrokers, []float64{20, 30, 40}),
+		Large:      axis(axisBrokers, membershipSizes),
+		Play:       playFaults,
+	}
+}
+
+// playFaults loses a rack, has it back, and loses a zone. The fleet is started over a second before.
+func playFaults(at Sizes, seed uint64) ([]Reading, error) {
+	brokers := int(at.Of(axisBrokers))
+	w := newNetwork(brokers, seed)
+	if _, err := w.until(nil, agreeWithin); err != nil {
+		return nil, err
+	}
+	if err := w.run(w.now + faultFor); err != nil {
+		return nil, err
+	}
+	rack := w.kill(func(x *node) bool { return x.number >= seedsOfFleet }, min(TargetRack, brokers/rackLeast))
+	rackKnown, rackTraffic, err := w.afterFault()
+	if err != nil {
+		return nil, err
+	}
+	for _, i := range rack {
+		w.start(i)
+	}
+	rackBack, err := w.until(nil, agreeWithin)
+	if err != nil {
+		return nil, err
+	}
+	w.kill(func(x *node) bool { return x.zone == TargetZones-1 }, brokers)
+	zoneKnown, zoneTraffic, err := w.afterFault()
+	if err != nil {
+		return nil, err
+	}
+	return []Reading{
+		{"rack lost: one view", "s", rackKnown},
+		{"rack lost: bytes sent", "B/s a broker", rackTraffic.sentBytes},
+		{"rack back: one view", "s", max(rackBack, 0.001)},
+		{"zone lost: one view", "s", zoneKnown},
+		{"zone lost: bytes sent", "B/s a broker", zoneTraffic.sentBytes},
+		{"zone lost: bytes sent by the busiest", "B/s", zoneTraffic.sentMost},
+	}, nil
+}
+
+// afterFault returns how long the living take to agree, and the traffic of the time right after the fault.
+func (w *network) afterFault() (float64, traffic, error) {
+	from := w.now
+	t, err := w.countWhile(faultFor)
+	if err != nil {
+		return 0, t.traffic, err
+	}
+	known := t.agreed
+	if known == 0 {
+		if _, err := w.until(nil, agreeWithin); err != nil {
+			return 0, t.traffic, err
+		}
+		known = (w.now - from).Seconds()
+	}
+	return known, t.traffic, nil
+}
+
+// observed is traffic, and when all agreed, in seconds from its beginning; 0: they did not.
+type observed struct {
+	traffic
+	agreed float64
+}
+
+// countWhile counts the traffic of a stretch and looks meanwhile whether all agree.
+func (w *network) countWhile(stretch time.Duration) (observed, error) {
+	var o observed
+	from, parts := w.now, 0.0
+	for w.now-from < stretch {
+		t, err := w.count(lookEvery)
+		if err != nil {
+			return o, err
+		}
+		o.sentBytes += t.sentBytes
+		o.sentMost = max(o.sentMost, t.sentMost)
+		parts++
+		if o.agreed == 0 && w.agree(nil) {
+			o.agreed = (w.now - from).Seconds()
+		}
+	}
+	o.sentBytes /= parts
+	return o, nil
+}
+
+func cutExperiment() Experiment {
+	return Experiment{
+		Name:       "cut",
+		Provenance: virtualMembership("one region of three cut off, 40 brokers"),
+		Small:      axis(axisCut, []float64{5, 10, 30}),
+		Large:      axis(axisCut, []float64{60, 300, 540, 900, HourS}),
+		Play:       playCut,
+	}
+}
+
+// playCut cuts a region off and heals it. The seeds stand in three zones and so in all regions.
+func playCut(at Sizes, seed uint64) ([]Reading, error) {
+	w := newNetwork(cutBrokers, seed)
+	if _, err := w.until(nil, agreeWithin); err != nil {
+		return nil, err
+	}
+	alone := func(x *node) bool { return x.region == TargetRegions-1 }
+	w.cut = func(from, to *node) bool { return alone(from) != alone(to) }
+	t, err := w.count(time.Duration(at.Of(axisCut) * float64(time.Second)))
+	if err != nil {
+		return nil, err
+	}
+	fenced, known, minority := 0.0, 0.0, 0.0
+	for _, x := range w.alive(alone) {
+		minority++
+		if x.Count().Fenced {
+			fenced++
+		}
+		known += float64(x.Count().Known)
+	}
+	others, fencedOthers := 0.0, 0.0
+	for _, x := range w.alive(func(x *node) bool { return !alone(x) }) {
+		others++
+		if x.Count().Fenced {
+			fencedOthers++
+		}
+	}
+	w.cut = func(_, _ *node) bool { return false }
+	healed, err := w.until(nil, agreeWithin)
+	if err != nil {
+		return nil, err
+	}
+	return []Reading{
+		{"brokers of the region", "brokers", minority},
+		{"fenced in the region", "share", fenced / minority},
+		{"fenced elsewhere", "share", fencedOthers / others},
+		{"known in the region", "brokers a view", known / minority},
+		{"bytes sent", "B/s a broker", t.sentBytes},
+		{"bytes sent by the busiest", "B/s", t.sentMost},
+		{"one view after the heal", "s", max(healed, 0.001)},
+	}, nil
+}
+
+func restartExperiment() Experiment {
+	const brokers = 200
+	return Experiment{
+		Name:       "restarts",
+		Provenance: virtualMembership("one broker after the other is killed and started a second later"),
+		Small:      axis(axisInterval, []float64{20, 10, 5}, Size{axisBrokers, 20}),
+		Large:      axis(axisInterval, []float64{30, 10, 6, 3, 1}, Size{axisBrokers, brokers}),
+		Play:       playRestarts,
+	}
+}
+
+// playRestarts restarts a broker each so many seconds.
+func playRestarts(at Sizes, seed uint64) ([]Reading, error) {
+	brokers := int(at.Of(axisBrokers))
+	interval := time.Duration(at.Of(axisInterval) * float64(time.Second))
+	w := newNetwork(brokers, seed)
+	if _, err := w.until(nil, agreeWithin); err != nil {
+		return nil, err
+	}
+	if err := w.run(w.now + faultFor); err != nil {
+		return nil, err
+	}
+	sent, most, parts := 0.0, 0.0, 0.0
+	end, next := w.now+restartFor, seedsOfFleet
+	for w.now < end {
+		i := next % brokers
+		next++
+		w.nodes[i].dead = true
+		stretches := []time.Duration{min(restartDown, interval/2)}
+		stretches = append(stretches, interval-stretches[0])
+		for turn, stretch := range stretches {
+			t, err := w.count(stretch)
+			if err != nil {
+				return nil, err
+			}
+			sent += t.sentBytes * stretch.Seconds()
+			most, parts = max(most, t.sentMost), parts+stretch.Seconds()
+			if turn == 0 {
+				w.start(i)
+			}
+		}
+	}
+	settled, err := w.until(nil, agreeWithin)
+	if err != nil {
+		return nil, err
+	}
+	return []Reading{
+		{"bytes sent", "B/s a broker", sent / parts},
+		{"bytes sent by the busiest", "B/s", most},
+		{"one view after the last", "s", max(settled, 0.001)},
+	}, nil
+}
--- /dev/null
+++ b/internal/scale/record.go
@@ -0,0 +1,244 @@
+package scale
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+)
+
+// Provenance tells what of a run was what. An empty field: nothing was.
+type Provenance struct {
+	Real     string `json:"real,omitempty"`     // the program's own code on real sockets or a real clock
+	Hollow   string `json:"hollow,omitempty"`   // the program's state machines and drivers without clients or work
+	Virtual  string `json:"virtual,omitempty"`  // on a virtual network or clock
+	Computed string `json:"computed,omitempty"` // arithmetic or chance drawn by it
+}
+
+// Size is the value of one axis at a point.
+type Size struct {
+	Axis  string  `json:"axis"`
+	Value float64 `json:"value"`
+}
+
+// Sizes are a point's place on all axes.
+type Sizes []Size
+
+// Of is the value of an axis; 0: the point does not name it.
+func (s Sizes) Of(axis string) float64 {
+	for _, size := range s {
+		if size.Axis == axis {
+			return size.Value
+		}
+	}
+	return 0
+}
+
+// Reading is one measured value.
+type Reading struct {
+	Name  string
+	Unit  string
+	Value float64
+}
+
+// Measure is what was read of one quantity at a point, a value for each repetition.
+type Measure struct {
+	Name   string    `json:"name"`
+	Unit   string    `json:"unit"`
+	Values []float64 `json:"values"`
+}
+
+// Point is what was measured at one place.
+type Point struct {
+	Sizes    Sizes     `json:"sizes"`
+	Measures []Measure `json:"measures"`
+}
+
+// Values are what was read of a quantity; nil: nothing.
+func (p Point) Values(name string) []float64 {
+	for _, m := range p.Measures {
+		if m.Name == name {
+			return m.Values
+		}
+	}
+	return nil
+}
+
+// repetitions is how often the point was played.
+func (p Point) repetitions() int {
+	if len(p.Measures) == 0 {
+		return 0
+	}
+	return len(p.Measures[0].Values)
+}
+
+// add books one repetition's readings.
+func (p *Point) add(readings []Reading) {
+	for _, r := range readings {
+		i := slices.IndexFunc(p.Measures, func(m Measure) bool { return m.Name == r.Name })
+		if i < 0 {
+			i = len(p.Measures)
+			p.Measures = append(p.Measures, Measure{Name: r.Name, Unit: r.Unit})
+		}
+		p.Measures[i].Values = append(p.Measures[i].Values, r.Value)
+	}
+}
+
+// Machine is where a run was played.
+type Machine struct {
+	Processor string  `json:"processor"`
+	Cores     int     `json:"cores"`
+	MemoryGB  float64 `json:"memory_gb"`
+	Go        string  `json:"go"`
+	Shared    bool    `json:"shared"` // other work ran beside it
+}
+
+// Record is one run: an experiment played at all of its points.
+type Record struct {
+	Experiment  string     `json:"experiment"`
+	Command     string     `json:"command"`
+	Commit      string     `json:"commit"`
+	Began       time.Time  `json:"began"`
+	Machine     Machine    `json:"machine"`
+	Seed        uint64     `json:"seed"`
+	Repetitions int        `json:"repetitions"`
+	Provenance  Provenance `json:"provenance"`
+	Points      []Point    `json:"points"`
+}
+
+// ErrRecord is that of a record that cannot be used.
+var ErrRecord = errors.New("scale: a record is incomplete")
+
+// Check tells what a record lacks.
+func (r *Record) Check() error {
+	switch {
+	case r.Experiment == "" || r.Commit == "" || r.Command == "" || r.Began.IsZero() || r.Machine.Cores == 0:
+		return fmt.Errorf("%w: experiment, commit, command, time and machine have to be told", ErrRecord)
+	case r.Provenance == Provenance{}:
+		return fmt.Errorf("%w: what was real, hollow, virtual or computed has to be told", ErrRecord)
+	case r.Repetitions < 1 || len(r.Points) == 0:
+		return fmt.Errorf("%w: no point or no repetition", ErrRecord)
+	}
+	for _, p := range r.Points {
+		if len(p.Sizes) == 0 || len(p.Measures) == 0 {
+			return fmt.Errorf("%w: a point without sizes or measures", ErrRecord)
+		}
+		for _, m := range p.Measures {
+			if len(m.Values) != r.Repetitions {
+				return fmt.Errorf("%w: %s at %v has %d values for %d repetitions", ErrRecord, m.Name, p.Sizes,
+					len(m.Values), r.Repetitions)
+			}
+		}
+	}
+	return nil
+}
+
+// Samples are the values of a quantity over one axis, at the points whose other axes stand as told.
+func (r *Record) Samples(name, axis string, fixed ...Size) []Sample {
+	var samples []Sample
+	for _, p := range r.Points {
+		off := func(f Size) bool { return p.Sizes.Of(f.Axis) != f.Value }
+		if slices.ContainsFunc(fixed, off) {
+			continue
+		}
+		for _, v := range p.Values(name) {
+			samples = append(samples, Sample{p.Sizes.Of(axis), v})
+		}
+	}
+	return samples
+}
+
+// At are the values of a quantity at the one point that stands as told.
+func (r *Record) At(name string, place ...Size) ([]float64, error) {
+	var found []float64
+	for _, p := range r.Points {
+		off := func(f Size) bool { return p.Sizes.Of(f.Axis) != f.Value }
+		if slices.ContainsFunc(place, off) {
+			continue
+		}
+		if found != nil {
+			return nil, fmt.Errorf("scale: %s: several points at %v", r.Experiment, place)
+		}
+		found = p.Values(name)
+	}
+	if found == nil {
+		return nil, fmt.Errorf("scale: %s: no %q at %v", r.Experiment, name, place)
+	}
+	return found, nil
+}
+
+// Save writes the record to a directory, under its experiment's and commit's name.
+func (r *Record) Save(dir string) (string, error) {
+	if err := r.Check(); err != nil {
+		return "", err
+	}
+	text, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, fmt.Sprintf("%s-%s.json", r.Experiment, r.Commit))
+	return path, os.WriteFile(path, append(text, '\n'), 0o644)
+}
+
+// Load reads the records of a directory, in the order of their file names.
+func Load(dir string) ([]*Record, error) {
+	paths, err := filepath.Glob(filepath.Join(dir, "*.json"))
+	if err != nil {
+		return nil, err
+	}
+	var all []*Record
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return nil, err
+		}
+		r := &Record{}
+		if err := json.Unmarshal(text, r); err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
+		if err := r.Check(); err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
+		all = append(all, r)
+	}
+	return all, nil
+}
+
+// Latest is the record of an experiment that began last.
+func Latest(all []*Record, experiment string) (*Record, error) {
+	var latest *Record
+	for _, r := range all {
+		if r.Experiment == experiment && (latest == nil || r.Began.After(latest.Began)) {
+			latest = r
+		}
+	}
+	if latest == nil {
+		return nil, fmt.Errorf("scale: no record of %q", experiment)
+	}
+	return latest, nil
+}
+
+// SaveState keeps an incomplete record, for LoadState.
+func (r *Record) SaveState(path string) error {
+	text, err := json.Marshal(r)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, text, 0o644)
+}
+
+// LoadState reads an incomplete record; nil: there is none.
+func LoadState(path string) (*Record, error) {
+	text, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	r := &Record{}
+	return r, json.Unmarshal(text, r)
+}
--- /dev/null
+++ b/internal/scale/scale_test.go
@@ -0,0 +1,89 @@
+package scale_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mothrouter/internal/scale"
+)
+
+var (
+	play        = flag.String("play", "", "experiment to play at its large sizes; its record is kept at -out")
+	out         = flag.String("out", "../../docs/capacity", "directory of the records")
+	state       = flag.String("state", "", "file of a run that goes on over several calls")
+	within      = flag.Duration("within", 70*time.Second, "time of one call, after which the run stops between points")
+	repetitions = flag.Int("repetitions", 5, "of each point")
+	seed        = flag.Uint64("seed", 1, "of the first repetition; each later one has the next")
+)
+
+func TestMain(m *testing.M) {
+	if child, err := scale.ServeChild(); child {
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// Every experiment runs at small sizes, and its record is whole. Of those without a real clock, equal seeds give equal
+// counts (but for processor time and memory).
+func TestSmallSizes(t *testing.T) {
+	for _, e := range scale.Experiments() {
+		t.Run(e.Name, func(t *testing.T) {
+			r, err := scale.Run(e, scale.Plan{Points: e.Small, Repetitions: 1, Seed: 1, Commit: "test", Command: "go test"},
+				nil, time.Time{})
+			require.NoError(t, err)
+			require.Len(t, r.Points, len(e.Small))
+			path, err := r.Save(t.TempDir())
+			require.NoError(t, err)
+			require.FileExists(t, path)
+		})
+	}
+}
+
+// TestRecord plays an experiment at its large sizes; it does nothing without -play.
+func TestRecord(t *testing.T) {
+	if *play == "" {
+		t.Skip("no -play")
+	}
+	e, err := scale.Find(*play)
+	require.NoError(t, err)
+	var before *scale.Record
+	if *state != "" {
+		before, err = scale.LoadState(*state)
+		require.NoError(t, err)
+	}
+	r, err := scale.Run(e, scale.Plan{Points: e.Large, Repetitions: *repetitions, Seed: *seed, Commit: commit(t),
+		Command: fmt.Sprintf("go test ./internal/scale -run TestRecord -play %s -repetitions %d -seed %d", *play,
+			*repetitions, *seed)}, before, time.Now().Add(*within))
+	require.NoError(t, err)
+	if r.Check() == nil {
+		path, err := r.Save(*out)
+		require.NoError(t, err)
+		t.Log("recorded ", path)
+		return
+	}
+	require.NotEmpty(t, *state, "the time is over, and no -state keeps what was measured")
+	require.NoError(t, r.SaveState(*state))
+	t.Log("not done yet; call again")
+}
+
+// commit names what is measured: the tree has to be clean but for the pages.
+func commit(t *testing.T) string {
+	text, err := exec.Command("git", "rev-parse", "--short=8", "HEAD").Output()
+	require.NoError(t, err)
+	dirty, err := exec.Command("git", "status", "--porcelain", "--", "../../internal", "../../cmd").Output()
+	require.NoError(t, err)
+	require.Empty(t, strings.TrimSpace(string(dirty)), "commit first: a record names what it measured")
+	return strings.TrimSpace(string(text))
+}
--- /dev/null
+++ b/internal/scale/service.go
@@ -0,0 +1,203 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"time"
+
+	"mothrouter/internal/broker"
+	"mothrouter/internal/decision"
+	"mothrouter/internal/upstream"
+)
+
+const (
+	serviceAtOnce  = 4                // queries out at once
+	serviceCounted = 24_000           // parts counted at least
+	servicePatient = 20 * time.Second // a client's wait; nothing is to end by time-out
+	serviceText    = 64               // bytes of a part's text
+	openWithin     = 30 * time.Second
+)
+
+// core is a broker's core and link, without a front, against record servers in a child.
+type core struct {
+	*broker.Broker
+	child  *child
+	cancel context.CancelFunc
+	known  []broker.ListEntry
+}
+
+func startCore(servers int, reports decision.ReportMode, seed uint64) (*core, error) {
+	c, err := startChild(roleServers, servers)
+	if err != nil {
+		return nil, err
+	}
+	set := targetSettings(servers, TargetBrokers)
+	set.ReportMode = reports
+	set.Classes[0].Aim, set.Classes[0].Deadline = servicePatient.Seconds(), servicePatient.Seconds()
+	ctx, cancel := context.WithCancel(context.Background())
+	link := upstream.New(ctx, upstream.Options{Streams: 100, Idle: time.Hour, ConnectTimeout: 5 * time.Second})
+	b := broker.New(broker.Options{Settings: set, Log: nobody, ProbeFor: openWithin}, decision.New(set, seed), link)
+	go b.Run(ctx)
+	return &core{b, c, cancel, c.entries()}, nil
+}
+
+func (c *core) update() {
+	c.Update(broker.List{Mode: decision.ListFull, Version: 1, Servers: c.known})
+}
+
+func (c *core) stop() error {
+	c.cancel()
+	_, err := c.child.stop()
+	return err
+}
+
+// abandon ends what an error has left; after stop it does nothing.
+func (c *core) abandon() {
+	c.cancel()
+	c.child.in.Close()
+}
+
+// finished is a client's end of a query.
+type finished chan broker.Result
+
+func (f finished) Finish(r broker.Result) { f <- r }
+
+// ask plays queries, so many at once, and returns an error if one is not answered whole.
+func (c *core) ask(name string, queries, parts int, rng *rand.Rand) error {
+	text := make([]byte, serviceText)
+	for i := range text {
+		text[i] = 'x'
+	}
+	done := make(finished, serviceAtOnce)
+	out := 0
+	for asked, ended := 0, 0; ended < queries; {
+		for ; out < serviceAtOnce && asked < queries; asked++ {
+			r := &broker.Request{ID: fmt.Sprint(name, asked), Arrived: time.Now(), Patience: servicePatient, Text: text}
+			first := rng.IntN(len(c.known))
+			for i := range parts {
+				r.Parts = append(r.Parts, broker.Part{Shard: (first + i) % len(c.known), Share: 1 / float64(parts)})
+			}
+			c.Take(r, done)
+			out++
+		}
+		result := <-done
+		out--
+		if ended++; result.Outcome != broker.Answered || !result.Whole {
+			return fmt.Errorf("scale: a query ended as %d, whole: %t", result.Outcome, result.Whole)
+		}
+	}
+	return nil
+}
+
+func serviceExperiment() Experiment {
+	return Experiment{
+		Name: "service",
+		Provenance: Provenance{Real: "internal/broker, decision and upstream (frames) over loopback; no front",
+			Hollow: "record servers: internal/standin in a process of its own, 2 ms a part, 4 queries at once"},
+		Small: grid(axisServers, []float64{20, 40, 60}, axisParts, []float64{12}),
+		Large: grid(axisServers, serverSizes, axisParts, partSizes),
+		Play:  playService,
+	}
+}
+
+func playService(at Sizes, seed uint64) ([]Reading, error) {
+	servers, parts := int(at.Of(axisServers)), int(at.Of(axisParts))
+	c, err := startCore(servers, decision.ReportPiggyback, seed)
+	if err != nil {
+		return nil, err
+	}
+	defer c.abandon()
+	c.update()
+	rng := rand.New(rand.NewPCG(seed, 17))
+	warm := 3*servers/parts + 10 // parts for each server, so that most connections are open
+	if err := c.ask("warm", warm, parts, rng); err != nil {
+		return nil, err
+	}
+	counted := serviceCounted
+	if servers < 200 {
+		counted /= 10
+	}
+	queries := max(counted/parts, 20)
+	meter := Start()
+	if err := c.ask("q", queries, parts, rng); err != nil {
+		return nil, err
+	}
+	used := meter.Stop()
+	if err := c.stop(); err != nil {
+		return nil, err
+	}
+	n := float64(queries)
+	micros := used.Processor.Seconds() * 1e6 / n
+	return []Reading{
+		{"processor a query", "µs", micros},
+		{"processor a part", "µs", micros / float64(parts)},
+		{"allocated a query", "bytes", float64(used.Allocated) / n},
+		{"objects a query", "objects", float64(used.Objects) / n},
+	}, nil
+}
+
+func meshExperiment() Experiment {
+	return Experiment{
+		Name: "mesh",
+		Provenance: Provenance{Real: "internal/upstream: one connection to each record server, over loopback",
+			Hollow: "record servers: internal/standin in a process of its own"},
+		Small: axis(axisServers, []float64{40}),
+		Large: axis(axisServers, serverSizes),
+		Play:  playMesh,
+	}
+}
+
+// playMesh has the module probe every server once, which opens a connection to each.
+func playMesh(at Sizes, seed uint64) ([]Reading, error) {
+	servers := int(at.Of(axisServers))
+	c, err := startCore(servers, decision.ReportPull, seed)
+	if err != nil {
+		return nil, err
+	}
+	defer c.abandon()
+	descriptors, err := openDescriptors()
+	if err != nil {
+		return nil, err
+	}
+	before := memoryInUse()
+	meter := Start()
+	c.update()
+	for end := time.Now().Add(openWithin); ; time.Sleep(50 * time.Millisecond) {
+		now, err := openDescriptors()
+		if err != nil {
+			return nil, err
+		}
+		if now-descriptors >= servers {
+			break
+		}
+		if time.Now().After(end) {
+			return nil, fmt.Errorf("%w: %d connections of %d", errSlow, now-descriptors, servers)
+		}
+	}
+	time.Sleep(500 * time.Millisecond) // the answers to the probes
+	used := meter.Stop()
+	held := memoryInUse() - before
+	now, err := openDescriptors()
+	if err != nil {
+		return nil, err
+	}
+	c.Gauges() // the broker has to live until its memory was read
+	if err := c.stop(); err != nil {
+		return nil, err
+	}
+	n := float64(servers)
+	return []Reading{
+		{"memory", "bytes", held},
+		{"memory a connection", "bytes", held / n},
+		{"processor to open", "µs a connection", used.Processor.Seconds() * 1e6 / n},
+		{"descriptors", "descriptors", float64(now - descriptors)},
+	}, nil
+}
+
+// openDescriptors counts this process's descriptors.
+func openDescriptors() (int, error) {
+	list, err := os.ReadDir("/proc/self/fd")
+	return len(list), err
+}
--- /dev/null
+++ b/internal/scale/usage.go
@@ -0,0 +1,93 @@
+package scale
+
+import (
+	"bufio"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// Usage is what a stretch of work took of this process.
+type Usage struct {
+	Processor time.Duration // user and system, of all threads
+	Allocated uint64        // bytes
+	Objects   uint64        // allocations
+	Wall      time.Duration
+}
+
+// Meter counts the usage from Start on.
+type Meter struct {
+	processor time.Duration
+	memory    runtime.MemStats
+	began     time.Time
+}
+
+// Start starts a meter.
+func Start() *Meter {
+	m := &Meter{}
+	runtime.ReadMemStats(&m.memory)
+	m.began, m.processor = time.Now(), processorTime()
+	return m
+}
+
+// Stop is the usage since the start.
+func (m *Meter) Stop() Usage {
+	l := Usage{Processor: processorTime() - m.processor, Wall: time.Since(m.began)}
+	var now runtime.MemStats
+	runtime.ReadMemStats(&now)
+	l.Allocated, l.Objects = now.TotalAlloc-m.memory.TotalAlloc, now.Mallocs-m.memory.Mallocs
+	return l
+}
+
+// processorTime is the processor time of this process so far, without that of its children.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// memoryInUse is what the heap and the stacks of this process hold after a collection, in bytes.
+func memoryInUse() float64 {
+	runtime.GC()
+	runtime.GC() // what finalizers freed
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
+// ThisMachine describes where this process runs.
+func ThisMachine() Machine {
+	return Machine{Processor: procField("/proc/cpuinfo", "model name"), Cores: runtime.NumCPU(),
+		MemoryGB: memoryTotal(), Go: runtime.Version(), Shared: true}
+}
+
+func memoryTotal() float64 {
+	kb, _, _ := strings.Cut(procField("/proc/meminfo", "MemTotal"), " ")
+	n, err := strconv.ParseFloat(kb, 64)
+	if err != nil {
+		return 0
+	}
+	const kbPerGB = 1 << 20
+	return float64(int(n / kbPerGB))
+}
+
+// procField is the first value of a name in a file of "name: value" lines.
+func procField(path, name string) string {
+	f, err := os.Open(path)
+	if err != nil {
+		return ""
+	}
+	defer f.Close()
+	for in := bufio.NewScanner(f); in.Scan(); {
+		key, value, ok := strings.Cut(in.Text(), ":")
+		if ok && strings.TrimSpace(key) == name {
+			return strings.TrimSpace(value)
+		}
+	}
+	return ""
+}
