--- a/internal/scale/experiment.go
+++ b/internal/scale/experiment.go
@@ -78,7 +78,7 @@
 // Experiments are all that can be played.
 func Experiments() []Experiment {
 	return []Experiment{decisionExperiment(), serviceExperiment(), meshExperiment(), membershipExperiment(),
-		faultExperiment(), cutExperiment(), restartExperiment(), listExperiment(), watchExperiment(), hollowExperiment(),
+		faultExperiment(), cutExperiment(), restartExperiment(), returnExperiment(), listExperiment(), watchExperiment(), hollowExperiment(),
 		coldExperiment(), quantileExperiment()}
 }
 
--- a/internal/scale/membership.go
+++ b/internal/scale/membership.go
@@ -263,3 +263,43 @@
 		{"one view after the last", "s", max(settled, 0.001)},
 	}, nil
 }
+
+func returnExperiment() Experiment {
+	return Experiment{
+		Name:       "return",
+		Provenance: virtualMembership("one broker is killed and started a second later at its address"),
+		Small:      axis(axisBrokers, []float64{10, 20, 30}),
+		Large:      axis(axisBrokers, membershipSizes),
+		Play:       playReturn,
+	}
+}
+
+// playReturn has one broker come back and counts what it sends meanwhile: until its former instance is forgotten, all
+// others go on to ping that one, at the same address.
+func playReturn(at Sizes, seed uint64) ([]Reading, error) {
+	w := newNetwork(int(at.Of(axisBrokers)), seed)
+	if _, err := w.until(nil, agreeWithin); err != nil {
+		return nil, err
+	}
+	if err := w.run(w.now + faultFor); err != nil {
+		return nil, err
+	}
+	w.nodes[seedsOfFleet].dead = true
+	if err := w.run(w.now + restartDown); err != nil {
+		return nil, err
+	}
+	w.start(seedsOfFleet)
+	most, count := 0.0, 0.0
+	for range int(2 * faultFor / time.Second) {
+		bytes, sent := w.nodes[seedsOfFleet].sentBytes, w.nodes[seedsOfFleet].sentCount
+		if err := w.run(w.now + time.Second); err != nil {
+			return nil, err
+		}
+		most = max(most, float64(w.nodes[seedsOfFleet].sentBytes-bytes))
+		count = max(count, float64(w.nodes[seedsOfFleet].sentCount-sent))
+	}
+	return []Reading{
+		{"bytes it sends in the busiest second", "B/s", most},
+		{"datagrams it sends in the busiest second", "1/s", count},
+	}, nil
+}
--- a/internal/scale/network.go
+++ b/internal/scale/network.go
@@ -43,6 +43,7 @@
 	number, zone, region int
 	addr                 netip.AddrPort
 	dead                 bool
+	began                time.Duration // its clock starts then, as a process's does
 
 	sentBytes, sentCount, heardBytes, heardCount int
 }
@@ -87,7 +88,8 @@
 
 // start starts the broker of a number, or another process of it.
 func (w *network) start(i int) {
-	x := &node{number: i, zone: i % TargetZones, region: i % TargetZones % TargetRegions, addr: brokerAddr(i)}
+	x := &node{number: i, zone: i % TargetZones, region: i % TargetZones % TargetRegions, addr: brokerAddr(i),
+		began: w.now}
 	var seeds []netip.AddrPort
 	for s := range seedsOfFleet {
 		seeds = append(seeds, brokerAddr(s))
@@ -118,12 +120,12 @@
 		switch {
 		case x.dead:
 		case e.data == nil:
-			w.carry(x, x.Tick(w.now))
+			w.carry(x, x.Tick(w.now-x.began))
 			heap.Push(&w.queue, arrival{at: w.now + membership.Wake, to: x})
 		default:
 			x.heardBytes += plane.Size(e.data)
 			x.heardCount++
-			w.carry(x, x.Receive(w.now, e.from, e.data))
+			w.carry(x, x.Receive(w.now-x.began, e.from, e.data))
 		}
 	}
 	w.now = to
--- /dev/null
+++ b/internal/scale/page.go
@@ -0,0 +1,387 @@
+package scale
+
+import (
+	"bytes"
+	_ "embed"
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"text/template"
+
+	"mothrouter/internal/frame"
+	"mothrouter/internal/httpwire"
+	"mothrouter/internal/membership"
+)
+
+//go:embed capacity.md.tmpl
+var pageText string
+
+// What the program and its example deployment fix, where no name is exported.
+const (
+	exampleOpenCap   = 267     // deploy/example.json: queries and parts held at most
+	exampleSockets   = 1024    // deploy/example.json: descriptors
+	serverShare      = 3. / 8  // of them for record servers (internal/config)
+	listLine         = 1 << 20 // bytes of a watch's longest line (internal/httpwire)
+	assumedValue     = 200     // bytes of a part's answer
+	assumedSharePart = 0.88    // of the machines are record servers: 4,600 of 4,600 + 590 + 4
+	wordsARestart    = 3       // changes of the list a restart: leaving, left, active
+)
+
+// Page renders docs/CAPACITY.md from the records. Every figure that was measured is taken from them; a row whose run is
+// missing says so.
+func Page(records []*Record) ([]byte, error) {
+	p := page{records}
+	t, err := template.New("page").Funcs(template.FuncMap{
+		"mean": p.mean, "spread": p.spread, "slope": p.slope, "misses": p.misses, "runs": p.runs, "table": p.table,
+		"num": num, "mul": func(a, b float64) float64 { return a * b }, "div": func(a, b float64) float64 { return a / b },
+		"add": func(a, b float64) float64 { return a + b }, "beyond": p.beyond, "reaches": p.reaches,
+		"callBytes": callBytes, "answerBytes": answerBytes, "openCap": func() float64 { return exampleOpenCap },
+		"connections": func() float64 { return exampleSockets * serverShare }, "line": func() float64 { return listLine },
+		"body": func() float64 { return httpwire.MaxBody }, "most": func() float64 { return membership.Most },
+		"slice3": func() []float64 { return partSizes }, "late": p.late, "hedged": p.hedged,
+		"listChanges": listChanges, "value": func() float64 { return assumedValue },
+	}).Parse(pageText)
+	if err != nil {
+		return nil, err
+	}
+	var out bytes.Buffer
+	err = t.Execute(&out, nil)
+	return out.Bytes(), err
+}
+
+// listChanges are how often the list changes a day.
+func listChanges() float64 {
+	return (TargetRestarts + TargetFailures) * assumedSharePart * wordsARestart
+}
+
+func callBytes() float64 {
+	id := frame.PartID(strings.Repeat("q", 16), 4000)
+	return float64(len(frame.AppendCall(nil, id, 4000, 240, make([]byte, serviceText))))
+}
+
+func answerBytes() float64 {
+	id := frame.PartID(strings.Repeat("q", 16), 4000)
+	return float64(len(frame.Append(nil, 'R', id+" done 1 inflight=1,util=0.3\n"))) + assumedValue
+}
+
+type page struct{ records []*Record }
+
+// late is how many parts in a million may be late, and hedged the same of a first copy that has a hedge behind it.
+func (p page) late(parts, floor float64) (float64, error) {
+	return p.mean("quantile", "late parts", fmt.Sprintf("parts=%g floor=%g", parts, floor))
+}
+
+func (p page) hedged(parts, floor float64) (float64, error) {
+	return p.mean("quantile", "late parts with a hedge", fmt.Sprintf("parts=%g floor=%g", parts, floor))
+}
+
+// place reads "servers=4600 parts=300".
+func place(text string) (sizes []Size, err error) {
+	for _, field := range strings.Fields(text) {
+		name, value, ok := strings.Cut(field, "=")
+		v, err := strconv.ParseFloat(value, 64)
+		if !ok || err != nil {
+			return nil, fmt.Errorf("scale: %q is no place", field)
+		}
+		sizes = append(sizes, Size{name, v})
+	}
+	return sizes, nil
+}
+
+func (p page) values(experiment, name, where string) ([]float64, error) {
+	at, err := place(where)
+	if err != nil {
+		return nil, err
+	}
+	r, err := Latest(p.records, experiment)
+	if errors.Is(err, errNoRecord) {
+		return nil, nil
+	} else if err != nil {
+		return nil, err
+	}
+	return r.At(name, at...)
+}
+
+// mean is a measured value; NaN: its run is missing.
+func (p page) mean(experiment, name, where string) (float64, error) {
+	values, err := p.values(experiment, name, where)
+	if err != nil || values == nil {
+		return math.NaN(), err
+	}
+	mean, _ := MeanInterval(values)
+	return mean, nil
+}
+
+// spread is a measured value with its interval.
+func (p page) spread(experiment, name, where string) (string, error) {
+	values, err := p.values(experiment, name, where)
+	if err != nil || values == nil {
+		return notRun, err
+	}
+	mean, in := MeanInterval(values)
+	if len(values) == 1 {
+		return num(mean), nil
+	}
+	return fmt.Sprintf("%s ± %s", num(mean), num(in.High-mean)), nil
+}
+
+const notRun = "not run"
+
+// num writes a number with three digits.
+func num(x float64) string {
+	switch {
+	case math.IsNaN(x):
+		return notRun
+	case math.IsInf(x, 0):
+		return "∞"
+	case x == 0:
+		return "0"
+	}
+	digits := max(2-int(math.Floor(math.Log10(math.Abs(x)))), 0)
+	if digits == 0 {
+		unit := math.Pow(10, math.Floor(math.Log10(math.Abs(x)))-2)
+		return thousands(int64(math.Round(x/unit) * unit))
+	}
+	return strconv.FormatFloat(x, 'f', digits, 64)
+}
+
+func thousands(n int64) string {
+	text := strconv.FormatInt(n, 10)
+	for i := len(text) - 3; i > 0 && text[i-1] != '-'; i -= 3 {
+		text = text[:i] + "," + text[i:]
+	}
+	return text
+}
+
+func (p page) samples(experiment, name, axis, fixed string) ([]Sample, *Record, error) {
+	at, err := place(fixed)
+	if err != nil {
+		return nil, nil, err
+	}
+	r, err := Latest(p.records, experiment)
+	if errors.Is(err, errNoRecord) {
+		return nil, nil, nil
+	} else if err != nil {
+		return nil, nil, err
+	}
+	return r.Samples(name, axis, at...), r, nil
+}
+
+// slope is a row of the table of slopes: what, over what, the form, exponent, rate, prediction, and the value at a size.
+func (p page) slope(experiment, name, axis, fixed string, target float64) (string, error) {
+	samples, r, err := p.samples(experiment, name, axis, fixed)
+	if err != nil {
+		return "", err
+	}
+	label := fmt.Sprintf("| %s: %s | %s", experiment, name, axis)
+	if fixed != "" {
+		label += ", " + fixed
+	}
+	if samples == nil {
+		return label + " | " + notRun + " | | | | |", nil
+	}
+	slope, err := Fit(samples)
+	if err != nil {
+		return "", fmt.Errorf("%s %s: %w", experiment, name, err)
+	}
+	exponent, err := FitExponent(samples)
+	if err != nil {
+		return "", err
+	}
+	check := "too few sizes"
+	prediction, err := Predict(samples)
+	if err == nil {
+		check = fmt.Sprintf("%+.0f %%", 100*prediction.Miss)
+		if !prediction.Holds() {
+			check += ", **measured is used**"
+		}
+	} else if !errors.Is(err, ErrTooFew) {
+		return "", err
+	}
+	value, how := p.valueAt(samples, slope, target)
+	return fmt.Sprintf("%s | %s | %.2f (%.2f to %.2f) | %s (%s to %s) | %s | %s %s at %s, %s | `%s-%s` |", label, slope.Form,
+		exponent.Value, exponent.Interval.Low, exponent.Interval.High, rate(slope), small(slope.RateInterval.Low),
+		small(slope.RateInterval.High), check, num(value), unitOf(r, name), num(target), how, r.Experiment, r.Commit), nil
+}
+
+func rate(s Slope) string {
+	if s.Form == Constant {
+		return small(s.Base)
+	}
+	return small(s.Rate)
+}
+
+func small(x float64) string { return strconv.FormatFloat(x, 'g', 3, 64) }
+
+func unitOf(r *Record, name string) string {
+	for _, m := range r.Points[0].Measures {
+		if m.Name == name {
+			return m.Unit
+		}
+	}
+	return ""
+}
+
+// valueAt is the cost at a size: the mean measured there, else what the slope says.
+func (p page) valueAt(samples []Sample, slope Slope, x float64) (value float64, how string) {
+	var there []float64
+	for _, s := range samples {
+		if s.X == x {
+			there = append(there, s.Y)
+		}
+	}
+	if len(there) > 0 {
+		mean, _ := MeanInterval(there)
+		return mean, "measured"
+	}
+	return slope.At(x), "computed"
+}
+
+// beyond is the cost at a size, measured or by the slope.
+func (p page) beyond(experiment, name, axis, fixed string, x float64) (float64, error) {
+	samples, _, err := p.samples(experiment, name, axis, fixed)
+	if err != nil || samples == nil {
+		return math.NaN(), err
+	}
+	slope, err := Fit(samples)
+	if err != nil {
+		return 0, err
+	}
+	value, _ := p.valueAt(samples, slope, x)
+	return value, nil
+}
+
+// reaches is the least size at which a cost reaches a limit by its slope; +Inf: it does not below ten times a million.
+func (p page) reaches(experiment, name, axis, fixed string, limit float64) (float64, error) {
+	samples, _, err := p.samples(experiment, name, axis, fixed)
+	if err != nil || samples == nil {
+		return math.NaN(), err
+	}
+	slope, err := Fit(samples)
+	if err != nil {
+		return 0, err
+	}
+	const most = 1e7
+	if slope.At(most) < limit {
+		return math.Inf(1), nil
+	}
+	low, high := 1.0, most
+	for range 100 {
+		if mid := (low + high) / 2; slope.At(mid) < limit {
+			low = mid
+		} else {
+			high = mid
+		}
+	}
+	return high, nil
+}
+
+// table is one quantity at all points of an experiment's axis, a row a point.
+func (p page) table(experiment, axis string, names ...string) (string, error) {
+	r, err := Latest(p.records, experiment)
+	if errors.Is(err, errNoRecord) {
+		return notRun, nil
+	} else if err != nil {
+		return "", err
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "| %s | %s |\n|%s\n", axis, strings.Join(names, " | "), strings.Repeat(" --- |", len(names)+1))
+	for _, point := range r.Points {
+		fmt.Fprintf(&b, "| %s |", num(point.Sizes.Of(axis)))
+		for _, name := range names {
+			mean, in := MeanInterval(point.Values(name))
+			if len(point.Values(name)) == 1 {
+				fmt.Fprintf(&b, " %s |", num(mean))
+				continue
+			}
+			fmt.Fprintf(&b, " %s ± %s |", num(mean), num(in.High-mean))
+		}
+		b.WriteByte('\n')
+	}
+	return strings.TrimSuffix(b.String(), "\n"), nil
+}
+
+// runs is the table of the records.
+func (p page) runs() string {
+	var b strings.Builder
+	for _, r := range p.records {
+		what := ""
+		for _, part := range []struct{ label, text string }{{"real", r.Provenance.Real}, {"hollow", r.Provenance.Hollow},
+			{"virtual", r.Provenance.Virtual}, {"computed", r.Provenance.Computed}} {
+			if part.text != "" {
+				what += fmt.Sprintf("**%s**: %s. ", part.label, part.text)
+			}
+		}
+		fmt.Fprintf(&b, "| `%s-%s` | %d of %d points | %s|\n", r.Experiment, r.Commit, r.Repetitions, len(r.Points), what)
+	}
+	return strings.TrimSuffix(b.String(), "\n")
+}
+
+// miss is one row of what the target needs and what there is.
+type miss struct {
+	what, mechanism string
+	need, have      float64 // in one unit
+	unit            string
+}
+
+func (m miss) factor() float64 { return m.need / m.have }
+
+// misses is the table of rows by how far they miss. At one and below a row carries.
+func (p page) misses() (string, error) {
+	var failed error
+	get := func(value float64, err error) float64 {
+		failed = errors.Join(failed, err)
+		return value
+	}
+	query := get(p.mean("service", "processor a query", "servers=4600 parts=300")) / 1e6
+	single := get(p.mean("list", "processor for a change", "servers=4600"))
+	size := get(p.mean("list", "size of the list", "servers=4600"))
+	mesh := get(p.mean("mesh", "memory", "servers=4600"))
+	control := get(p.beyond("hollow", "processor", axisBrokers, "", TargetBrokers)) / 1e6
+	gossip := get(p.beyond("membership", "bytes sent by the busiest", axisBrokers, "", TargetBrokers))
+	back := get(p.beyond("return", "bytes it sends in the busiest second", axisBrokers, "", TargetBrokers))
+	cold := get(p.mean("cold", "largest sum of the limit", "brokers=590"))
+	rows := []miss{
+		{"configuration in force everywhere within 8 s", "distribution over a replicated log (`internal/consensus`, " +
+			"`internal/distribution`)", 1, 0, "mechanisms"},
+		{"connections of a broker, one to each record server, in the example's descriptors", "a larger limit, or subsetting",
+			TargetServers, exampleSockets * serverShare, "connections"},
+		{"a broker's service path, cores (one loop, one core)", "several workers (`internal/cores`), fewer frames a part",
+			query * QueriesABroker(TargetBrokers), 1, "cores"},
+		{"a zone's 460 servers told one by one, of the 0.25 s in which a drain binds", "one delta for all; a list that " +
+			"changes in place", single * TargetServers / TargetZones / 1e6, 0.25, "s of the loop"},
+		{"bytes a second of a broker that was killed and came back", "no ping of an instance whose name lives", back / 1e3,
+			BudgetBytes / 1e3, "KB/s"},
+		{"queries and parts held by one broker, in the example's openCap", "a larger cap", TargetParts + 1, exampleOpenCap,
+			"units"},
+		{"members", "a larger bound, or views by region", TargetBrokers, membership.Most, "members"},
+		{"a whole list on one line of a watch", "none needed yet", size / 1e6, listLine / 1e6, "MB"},
+		{"sum of what all brokers send to one cold server", "shares of the peak (`internal/lease`)", cold, 1, "of the limit"},
+		{"control of an idle broker, processor", "none needed", control, BudgetCore, "cores"},
+		{"control of an idle broker, bytes sent", "none needed", gossip / 1e3, BudgetBytes / 1e3, "KB/s"},
+		{"memory of the connections to all record servers, of the example's 192 MB", "none needed", mesh / 1e6, 192, "MB"},
+	}
+	slices.SortStableFunc(rows, func(a, b miss) int {
+		if math.IsNaN(a.factor()) || math.IsNaN(b.factor()) {
+			return 0
+		}
+		return int(math.Copysign(1, b.factor()-a.factor()))
+	})
+	var b strings.Builder
+	for _, m := range rows {
+		verdict := "carries"
+		if m.have == 0 {
+			verdict = "has no mechanism"
+		} else if math.IsNaN(m.factor()) {
+			verdict = notRun
+		} else if m.factor() > 1 {
+			verdict = "carries not"
+		}
+		fmt.Fprintf(&b, "| %s | %s | %s %s | %s | %s | %s |\n", m.what, num(m.need), num(m.have), m.unit, num(m.factor()),
+			verdict, m.mechanism)
+	}
+	return strings.TrimSuffix(b.String(), "\n"), failed
+}
--- /dev/null
+++ b/internal/scale/page_test.go
@@ -0,0 +1,61 @@
+package scale_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"mothrouter/internal/scale"
+)
+
+var update = flag.Bool("update", false, "write docs/CAPACITY.md anew from docs/capacity")
+
+const (
+	pagePath   = "../../docs/CAPACITY.md"
+	recordsDir = "../../docs/capacity"
+)
+
+// The page and the runs cannot drift apart: every figure is computed anew.
+func TestPageSaysWhatTheRunsSay(t *testing.T) {
+	records, err := scale.Load(recordsDir)
+	require.NoError(t, err)
+	require.NotEmpty(t, records)
+	page, err := scale.Page(records)
+	require.NoError(t, err)
+	if *update {
+		require.NoError(t, os.WriteFile(pagePath, page, 0o644))
+	}
+	stands, err := os.ReadFile(pagePath)
+	require.NoError(t, err)
+	require.Equal(t, string(page), string(stands), "go test ./internal/scale -run TestPage -update")
+}
+
+// A value that is changed in any one record changes the page: no figure of a run is left out or written by hand.
+func TestEveryRecordIsOnThePage(t *testing.T) {
+	records, err := scale.Load(recordsDir)
+	require.NoError(t, err)
+	page, err := scale.Page(records)
+	require.NoError(t, err)
+	for _, r := range records {
+		for p := range r.Points {
+			for m := range r.Points[p].Measures {
+				for v := range r.Points[p].Measures[m].Values {
+					r.Points[p].Measures[m].Values[v] *= 1.5
+				}
+			}
+		}
+		changed, err := scale.Page(records)
+		require.NoError(t, err)
+		require.NotEqual(t, string(page), string(changed), r.Experiment)
+		page = changed
+	}
+}
+
+func TestAMissingRunIsSaidToBeMissing(t *testing.T) {
+	page, err := scale.Page(nil)
+	require.NoError(t, err)
+	require.Contains(t, string(page), "| service: processor a query | servers, parts=300 | not run |")
+	require.NotContains(t, string(page), "NaN")
+}
--- a/internal/scale/record.go
+++ b/internal/scale/record.go
@@ -112,6 +112,9 @@
 // ErrRecord is that of a record that cannot be used.
 var ErrRecord = errors.New("scale: a record is incomplete")
 
+// errNoRecord is that of an experiment that was not run.
+var errNoRecord = errors.New("scale: no record")
+
 // Check tells what a record lacks.
 func (r *Record) Check() error {
 	switch {
@@ -216,7 +219,7 @@
 		}
 	}
 	if latest == nil {
-		return nil, fmt.Errorf("scale: no record of %q", experiment)
+		return nil, fmt.Errorf("%w of %q", errNoRecord, experiment)
 	}
 	return latest, nil
 }
