--- a/internal/scale/decision.go
+++ b/internal/scale/decision.go
@@ -21,7 +21,9 @@
 var (
 	serverSizes = []float64{200, 500, 1000, 2300, TargetServers}
 	partSizes   = []float64{36, 100, TargetParts}
-	brokerSizes = []float64{40, 100, 300, TargetBrokers, 1200}
+	// crowdedSizes are those of queries of 300 parts, which go to 300 record servers: 200 have no room for one.
+	crowdedSizes = []float64{320, 500, 1000, 2300, TargetServers}
+	brokerSizes  = []float64{40, 100, 300, TargetBrokers, 1200}
 )
 
 const (
@@ -144,12 +146,18 @@
 	}
 }
 
+// serversAndParts are the sizes of record servers and parts a query with their corners.
+func serversAndParts() []Sizes {
+	points := grid(axisServers, serverSizes, axisParts, partSizes[:2])
+	return append(points, grid(axisServers, crowdedSizes, axisParts, partSizes[2:])...)
+}
+
 func decisionExperiment() Experiment {
 	return Experiment{
 		Name:       "decision",
 		Provenance: Provenance{Real: "internal/decision", Virtual: "clock, record servers and clients"},
 		Small:      grid(axisServers, []float64{50, 100, 200}, axisParts, []float64{12}),
-		Large:      grid(axisServers, serverSizes, axisParts, partSizes),
+		Large:      serversAndParts(),
 		Play:       playDecision,
 	}
 }
--- a/internal/scale/deterministic_test.go
+++ b/internal/scale/deterministic_test.go
@@ -63,7 +63,8 @@
 func TestARecordThatLacksSomethingIsRefused(t *testing.T) {
 	e, err := scale.Find("quantile")
 	require.NoError(t, err)
-	r, err := scale.Run(e, scale.Plan{Points: e.Small, Repetitions: 1, Seed: 1, Commit: "c", Command: "c"}, nil, time.Time{})
+	plan := scale.Plan{Points: e.Small, Repetitions: 1, Seed: 1, Commit: "c", Command: "c"}
+	r, err := scale.Run(e, plan, nil, time.Time{})
 	require.NoError(t, err)
 	for name, spoil := range map[string]func(*scale.Record){
 		"commit":     func(r *scale.Record) { r.Commit = "" },
--- a/internal/scale/page.go
+++ b/internal/scale/page.go
@@ -170,7 +170,7 @@
 	return r.Samples(name, axis, at...), r, nil
 }
 
-// slope is a row of the table of slopes: what, over what, the form, exponent, rate, prediction, and the value at a size.
+// slope is a row of the table of slopes: what, over what, form, exponent, rate, prediction, and the value at a size.
 func (p page) slope(experiment, name, axis, fixed string, target float64) (string, error) {
 	samples, r, err := p.samples(experiment, name, axis, fixed)
 	if err != nil {
@@ -202,8 +202,8 @@
 		return "", err
 	}
 	value, how := p.valueAt(samples, slope, target)
-	return fmt.Sprintf("%s | %s | %.2f (%.2f to %.2f) | %s (%s to %s) | %s | %s %s at %s, %s | `%s-%s` |", label, slope.Form,
-		exponent.Value, exponent.Interval.Low, exponent.Interval.High, rate(slope), small(slope.RateInterval.Low),
+	const row = "%s | %s | %.2f (%.2f to %.2f) | %s (%s to %s) | %s | %s %s at %s, %s | `%s-%s` |"
+	return fmt.Sprintf(row, label, slope.Form, exponent.Value, exponent.Interval.Low, exponent.Interval.High, rate(slope), small(slope.RateInterval.Low),
 		small(slope.RateInterval.High), check, num(value), unitOf(r, name), num(target), how, r.Experiment, r.Commit), nil
 }
 
@@ -237,6 +237,9 @@
 		mean, _ := MeanInterval(there)
 		return mean, "measured"
 	}
+	if prediction, err := Predict(samples); err == nil && !prediction.Holds() {
+		return slope.At(x), "computed beyond what was measured, by a slope that missed"
+	}
 	return slope.At(x), "computed"
 }
 
--- a/internal/scale/service.go
+++ b/internal/scale/service.go
@@ -97,7 +97,7 @@
 		Provenance: Provenance{Real: "internal/broker, decision and upstream (frames) over loopback; no front",
 			Hollow: "record servers: internal/standin in a process of its own, 2 ms a part, 4 queries at once"},
 		Small: grid(axisServers, []float64{20, 40, 60}, axisParts, []float64{12}),
-		Large: grid(axisServers, serverSizes, axisParts, partSizes),
+		Large: serversAndParts(),
 		Play:  playService,
 	}
 }
