--- a/internal/scale/child.go
+++ b/internal/scale/child.go
@@ -99,10 +99,13 @@
 	return nil, errors.Join(errors.New("scale: a child was not ready"), c.cmd.Wait())
 }
 
-// stop ends the child and returns its processor time.
+// stop ends the child and returns its processor time. A child that has been stopped stays so.
 func (c *child) stop() (time.Duration, error) {
 	c.in.Close()
-	err := c.cmd.Wait()
+	var err error
+	if c.cmd.ProcessState == nil {
+		err = c.cmd.Wait()
+	}
 	return c.cmd.ProcessState.UserTime() + c.cmd.ProcessState.SystemTime(), err
 }
 
--- a/internal/scale/experiment.go
+++ b/internal/scale/experiment.go
@@ -77,9 +77,11 @@
 
 // Experiments are all that can be played.
 func Experiments() []Experiment {
-	return []Experiment{decisionExperiment(), serviceExperiment(), meshExperiment(), membershipExperiment(),
-		faultExperiment(), cutExperiment(), restartExperiment(), returnExperiment(), listExperiment(), watchExperiment(), hollowExperiment(),
-		coldExperiment(), quantileExperiment()}
+	return []Experiment{
+		decisionExperiment(), serviceExperiment(), meshExperiment(), listExperiment(), watchExperiment(),
+		membershipExperiment(), faultExperiment(), cutExperiment(), restartExperiment(), returnExperiment(),
+		hollowExperiment(), coldExperiment(), quantileExperiment(),
+	}
 }
 
 // Find is the experiment of a name.
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer c.in.Close()
+	defer c.stop()
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	defer func() {
--- a/internal/scale/list.go
+++ b/internal/scale/list.go
@@ -173,7 +173,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer c.in.Close()
+	defer c.stop()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	t := &tally{}
--- a/internal/scale/page.go
+++ b/internal/scale/page.go
@@ -36,8 +36,11 @@
 	p := page{records}
 	t, err := template.New("page").Funcs(template.FuncMap{
 		"mean": p.mean, "spread": p.spread, "slope": p.slope, "misses": p.misses, "runs": p.runs, "table": p.table,
-		"num": num, "mul": func(a, b float64) float64 { return a * b }, "div": func(a, b float64) float64 { return a / b },
-		"add": func(a, b float64) float64 { return a + b }, "beyond": p.beyond, "reaches": p.reaches,
+		"num":    num,
+		"add":    func(a, b float64) float64 { return a + b },
+		"mul":    func(a, b float64) float64 { return a * b },
+		"div":    func(a, b float64) float64 { return a / b },
+		"beyond": p.beyond, "reaches": p.reaches,
 		"callBytes": callBytes, "answerBytes": answerBytes, "openCap": func() float64 { return exampleOpenCap },
 		"connections": func() float64 { return exampleSockets * serverShare }, "line": func() float64 { return listLine },
 		"body": func() float64 { return httpwire.MaxBody }, "most": func() float64 { return membership.Most },
@@ -203,7 +206,8 @@
 	}
 	value, how := p.valueAt(samples, slope, target)
 	const row = "%s | %s | %.2f (%.2f to %.2f) | %s (%s to %s) | %s | %s %s at %s, %s | `%s-%s` |"
-	return fmt.Sprintf(row, label, slope.Form, exponent.Value, exponent.Interval.Low, exponent.Interval.High, rate(slope), small(slope.RateInterval.Low),
+	return fmt.Sprintf(row, label, slope.Form, exponent.Value, exponent.Interval.Low, exponent.Interval.High,
+		rate(slope), small(slope.RateInterval.Low),
 		small(slope.RateInterval.High), check, num(value), unitOf(r, name), num(target), how, r.Experiment, r.Commit), nil
 }
 
--- a/internal/scale/service.go
+++ b/internal/scale/service.go
@@ -56,7 +56,7 @@
 // abandon ends what an error has left; after stop it does nothing.
 func (c *core) abandon() {
 	c.cancel()
-	c.child.in.Close()
+	c.child.stop()
 }
 
 // finished is a client's end of a query.
