--- a/internal/distribution/follower.go
+++ b/internal/distribution/follower.go
@@ -22,7 +22,7 @@
 	UnconfirmedLimit = 5 * time.Second
 
 	// A fleet that leaves a control machine together spreads over this time.
-	leaveWithin = time.Second
+	leaveWithin = 1500 * time.Millisecond
 	// The longest wait between two machines of one round.
 	betweenMost = 100 * time.Millisecond
 	// Where every machine is unconfirmed, the one that is kept is left again after 30 to 60 s, then after twice as
--- a/internal/distribution/follower_receive.go
+++ b/internal/distribution/follower_receive.go
@@ -37,6 +37,7 @@
 	}
 	if f.heard.IsZero() {
 		f.waits.Succeeded()
+		f.machines[f.machine].confirmed = f.opened
 	}
 	f.heard = now
 	f.counts.Updates++
@@ -106,8 +107,8 @@
 	return r.inHand != 0 && update.GetNewest() == r.inHand && update.GetNewestChecksum() != r.checksum
 }
 
-// takeConfirmation notes when a quorum last confirmed the present machine. One that lacks the revision in hand, or has
-// another content for it, has as long to catch up as an unconfirmed one. The age counts from when the update was sent
+// takeConfirmation notes when a quorum last confirmed the present machine. Updates that lack the revision in hand, or
+// have another content for it, confirm nothing: a machine that goes on with them is left like an unconfirmed one. The age counts from when the update was sent
 // at the earliest: it may have been held up by the network or by a pause of this process.
 func (f *Follower) takeConfirmation(now time.Time, update *configpb.Update) {
 	m := &f.machines[f.machine]
@@ -119,7 +120,6 @@
 		if behind {
 			f.counts.Behind++
 		}
-		m.confirmed = earliest(f.opened, at)
 		return
 	case update.GetConfirmedMs() == NeverConfirmed:
 		m.confirmed = time.Time{}
