--- /dev/null
+++ b/internal/distribution/follower_test.go
@@ -0,0 +1,244 @@
+package distribution_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mothrouter/internal/configpb"
+	"mothrouter/internal/distribution"
+)
+
+// newFollower returns a follower of so many machines with a stream that is just opened, and the time.
+func newFollower(t testing.TB, machines int) (*distribution.Follower, distribution.StreamID, time.Time) {
+	control := make([]distribution.Machine, machines)
+	for i := range control {
+		control[i].Address = string(rune('a' + i))
+	}
+	f, err := distribution.NewFollower(epoch, distribution.FollowerOptions{
+		Name: "b", Started: epoch, Control: control, Callers: 100, Seed: 1,
+	})
+	require.NoError(t, err)
+	now := f.Wake()
+	stream := openStream(t, f, now)
+	return f, stream, now
+}
+
+// openStream has the follower open its next stream, which is due.
+func openStream(t testing.TB, f *distribution.Follower, now time.Time) distribution.StreamID {
+	f.Tick(now)
+	ready := f.Ready(now)
+	require.NotNil(t, ready.Open)
+	require.Equal(t, ready.Stream, ready.Open.Stream)
+	require.EqualValues(t, 1, ready.Report.GetSequence())
+	return ready.Stream
+}
+
+func heartbeat(newest, confirmedMS uint32) *configpb.Update {
+	update := &configpb.Update{Newest: uint64(newest), ConfirmedMs: confirmedMS, Report: 1}
+	if newest > 0 {
+		update.NewestChecksum = revisionOf(uint64(newest)).GetChecksum()
+	}
+	return update
+}
+
+func updateOf(number uint64) *configpb.Update {
+	update := heartbeat(uint32(number), 0)
+	update.Revision = revisionOf(number)
+	return update
+}
+
+func TestARevisionIsHandedOutOnceAndTheNewestWaits(t *testing.T) {
+	f, stream, now := newFollower(t, 2)
+	for number := uint64(1); number <= 4; number++ {
+		f.Receive(now, stream, updateOf(number))
+		if number == 1 {
+			require.EqualValues(t, 1, f.Ready(now).Apply.GetNumber())
+		}
+		require.Nil(t, f.Ready(now).Apply, "one is under application")
+	}
+	f.Applied(now, 1)
+	ready := f.Ready(now)
+	require.EqualValues(t, 1, ready.Report.GetInForce())
+	require.EqualValues(t, 2, ready.Report.GetSequence())
+	require.EqualValues(t, 4, ready.Apply.GetNumber())
+	f.Refused(now, 4, "settings.port", strings.Repeat("é", 1000))
+	report := f.Ready(now).Report
+	require.EqualValues(t, 1, report.GetInForce())
+	require.EqualValues(t, 4, report.GetRefusal().GetNumber())
+	require.Len(t, report.GetRefusal().GetReason(), 1024)
+	f.Receive(now, stream, updateOf(4))
+	require.Nil(t, f.Ready(now).Apply, "it was refused")
+	f.Receive(now, stream, updateOf(5))
+	require.EqualValues(t, 5, f.Ready(now).Apply.GetNumber())
+	f.Applied(now, 5)
+	require.Nil(t, f.Ready(now).Report.GetRefusal())
+	counts := f.Status(now).Counts
+	require.EqualValues(t, 2, counts.Skipped)
+	require.EqualValues(t, 1, counts.Doubled)
+}
+
+func TestUpdatesThatCannotBeUsedAreCountedAndDropped(t *testing.T) {
+	f, stream, now := newFollower(t, 2)
+	f.Receive(now, stream, updateOf(5))
+	require.NotNil(t, f.Ready(now).Apply)
+	spoil := func(number uint64, change func(*configpb.Update)) *configpb.Update {
+		update := updateOf(number)
+		change(update)
+		return update
+	}
+	for name, x := range map[string]struct {
+		update *configpb.Update
+		count  func(distribution.UpdateCounts) uint64
+	}{
+		"nil":      {nil, func(c distribution.UpdateCounts) uint64 { return c.Malformed }},
+		"older":    {updateOf(4), func(c distribution.UpdateCounts) uint64 { return c.Older }},
+		"doubled":  {updateOf(5), func(c distribution.UpdateCounts) uint64 { return c.Doubled }},
+		"behind":   {heartbeat(4, 0), func(c distribution.UpdateCounts) uint64 { return c.Behind }},
+		"conflict": {spoil(5, func(u *configpb.Update) { rewrite(u, "{}") }), func(c distribution.UpdateCounts) uint64 { return c.Conflicts }},
+		"conflict of a heartbeat": {&configpb.Update{Newest: 5, NewestChecksum: 1, Report: 1},
+			func(c distribution.UpdateCounts) uint64 { return c.Conflicts }},
+		"torn": {spoil(6, func(u *configpb.Update) { u.Revision.Document = u.Revision.Document[1:] }),
+			func(c distribution.UpdateCounts) uint64 { return c.Torn }},
+		"oversized": {spoil(6, func(u *configpb.Update) { rewrite(u, strings.Repeat("x", distribution.MaxDocument+1)) }),
+			func(c distribution.UpdateCounts) uint64 { return c.Oversized }},
+		"another number": {spoil(6, func(u *configpb.Update) { u.Newest = 7 }),
+			func(c distribution.UpdateCounts) uint64 { return c.Malformed }},
+		"another report": {spoil(6, func(u *configpb.Update) { u.Report = 9 }),
+			func(c distribution.UpdateCounts) uint64 { return c.Malformed }},
+	} {
+		before := x.count(f.Status(now).Counts)
+		f.Receive(now, stream, x.update)
+		require.Equal(t, before+1, x.count(f.Status(now).Counts), name)
+	}
+	f.Receive(now, stream+1, updateOf(6))
+	require.EqualValues(t, 1, f.Status(now).Counts.Foreign)
+	f.Applied(now, 5)
+	require.Nil(t, f.Ready(now).Apply)
+}
+
+func rewrite(u *configpb.Update, document string) {
+	u.Revision.Document = []byte(document)
+	u.Revision.Checksum = distribution.Checksum(u.Revision.Document)
+	u.NewestChecksum = u.Revision.Checksum
+}
+
+func TestASilentStreamIsLeftForAnotherMachine(t *testing.T) {
+	f, stream, now := newFollower(t, 2)
+	first := f.Status(now).Control
+	f.Receive(now, stream, heartbeat(0, 0))
+	f.Tick(now.Add(distribution.Silence - 1))
+	require.Zero(t, f.Ready(now).Close)
+	now = now.Add(distribution.Silence)
+	f.Tick(now)
+	require.Equal(t, stream, f.Ready(now).Close)
+	require.LessOrEqual(t, f.Wake().Sub(now), 2*time.Second)
+	now = f.Wake()
+	f.Tick(now)
+	require.NotEqual(t, first, f.Ready(now).Open.Address)
+}
+
+// Seed 1 of the simulation: an update that a cut or a pause held up was taken for a new one.
+func TestAnUpdateThatWasHeldUpIsOld(t *testing.T) {
+	f, stream, opened := newFollower(t, 2)
+	_, known := f.Stale(opened)
+	require.False(t, known, "no control machine has confirmed anything")
+	update := heartbeat(0, 100)
+	update.ReportMs = 50
+	now := opened.Add(4 * time.Second)
+	f.Receive(now, stream, update)
+	behind, known := f.Stale(now.Add(time.Second))
+	require.True(t, known)
+	require.Equal(t, 5*time.Second+50*time.Millisecond, behind)
+}
+
+// Seed 9 of the simulation: one old update ended a stream to a healthy control machine.
+func TestOneOldUpdateDoesNotEndAStream(t *testing.T) {
+	f, stream, now := newFollower(t, 2)
+	f.Receive(now, stream, updateOf(5))
+	for i := range 20 {
+		now = now.Add(distribution.Heartbeat)
+		update := heartbeat(5, 0)
+		update.ReportMs = uint32((i + 1) * 1000)
+		f.Receive(now, stream, update)
+		f.Tick(now)
+	}
+	f.Receive(now, stream, heartbeat(4, 0))
+	f.Tick(now)
+	require.Zero(t, f.Ready(now).Close)
+}
+
+func TestAControlMachineThatIsBehindIsLeftAndTakesNothingBack(t *testing.T) {
+	f, stream, now := newFollower(t, 3)
+	f.Receive(now, stream, updateOf(5))
+	require.NotNil(t, f.Ready(now).Apply)
+	f.Applied(now, 5)
+	f.Ended(now, stream)
+	now = f.Wake()
+	stream = openStream(t, f, now)
+	opened := now
+	for f.Status(now).Counts.Unconfirmed == 0 {
+		f.Receive(now, stream, updateOf(4))
+		f.Tick(now)
+		require.Nil(t, f.Ready(now).Apply)
+		now = now.Add(distribution.Heartbeat)
+		require.LessOrEqual(t, now.Sub(opened), distribution.UnconfirmedLimit+2*distribution.Heartbeat)
+	}
+	require.EqualValues(t, 5, f.Status(now).InForce)
+}
+
+func TestAFollowerPrefersItsZoneAndThenItsRegion(t *testing.T) {
+	first := map[string]int{}
+	for seed := range uint64(200) {
+		f, err := distribution.NewFollower(epoch, distribution.FollowerOptions{
+			Name: "b", Started: epoch, Zone: "a1", Region: "a", Callers: 100, Seed: seed,
+			Control: []distribution.Machine{
+				{Address: "1", Zone: "c1", Region: "c"}, {Address: "2", Zone: "a2", Region: "a"},
+				{Address: "3", Zone: "b1", Region: "b"}, {Address: "4", Zone: "a3", Region: "a"},
+			},
+		})
+		require.NoError(t, err)
+		var order string
+		for len(order) < 4 {
+			now := f.Wake()
+			f.Tick(now)
+			ready := f.Ready(now)
+			order += ready.Open.Address
+			f.Ended(now, ready.Stream)
+		}
+		require.Contains(t, []string{"24", "42"}, order[:2])
+		first[order]++
+	}
+	require.Len(t, first, 4, "machines at the same distance are chosen by chance")
+	f, err := distribution.NewFollower(epoch, distribution.FollowerOptions{
+		Name: "b", Zone: "a3", Region: "a",
+		Control: []distribution.Machine{{Address: "2", Region: "a"}, {Address: "4", Zone: "a3", Region: "a"}},
+	})
+	require.NoError(t, err)
+	f.Tick(f.Wake())
+	require.Equal(t, "4", f.Ready(f.Wake()).Open.Address)
+}
+
+func TestAFollowerThatWasPausedReadsBeforeItLeaves(t *testing.T) {
+	f, stream, now := newFollower(t, 2)
+	f.Receive(now, stream, heartbeat(0, 0))
+	now = now.Add(time.Minute)
+	f.Tick(now)
+	require.Zero(t, f.Ready(now).Close)
+	f.Tick(now.Add(distribution.Heartbeat))
+	require.Equal(t, stream, f.Ready(now.Add(distribution.Heartbeat)).Close, "but once only")
+}
+
+func TestOptionsAreChecked(t *testing.T) {
+	one := []distribution.Machine{{Address: "a"}}
+	for want, opt := range map[error]distribution.FollowerOptions{
+		distribution.ErrNoMachines:      {Name: "b"},
+		distribution.ErrTooManyMachines: {Name: "b", Control: make([]distribution.Machine, distribution.MaxMachines+1)},
+		distribution.ErrBadName:         {Control: one},
+	} {
+		_, err := distribution.NewFollower(epoch, opt)
+		require.ErrorIs(t, err, want)
+	}
+}
--- /dev/null
+++ b/internal/distribution/fuzz_test.go
@@ -0,0 +1,268 @@
+package distribution_test
+
+import (
+	"encoding/binary"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mothrouter/internal/configpb"
+	"mothrouter/internal/distribution"
+)
+
+// bytesReader hands out a fuzz input piece by piece; zeros once it is over.
+type bytesReader struct{ data []byte }
+
+func (r *bytesReader) byte() byte {
+	if len(r.data) == 0 {
+		return 0
+	}
+	b := r.data[0]
+	r.data = r.data[1:]
+	return b
+}
+
+func (r *bytesReader) number() uint64 {
+	if b := r.byte(); b < 250 {
+		return uint64(b % 8)
+	}
+	var wide [8]byte
+	for i := range wide {
+		wide[i] = r.byte()
+	}
+	return binary.LittleEndian.Uint64(wide[:])
+}
+
+// fuzzedUpdate returns an update that is often well-formed and often almost so.
+func fuzzedUpdate(r *bytesReader, sequence uint64) *configpb.Update {
+	kind := r.byte()
+	if kind == 255 {
+		return nil
+	}
+	update := &configpb.Update{Newest: r.number(), ConfirmedMs: uint32(r.number()), Report: sequence, ReportMs: uint32(r.byte())}
+	document := []byte{r.byte() % 3, byte(update.Newest)}
+	if kind&1 != 0 {
+		document = make([]byte, distribution.MaxDocument+int(r.byte()%3))
+	}
+	if update.Newest != 0 {
+		update.NewestChecksum = distribution.Checksum(document)
+	}
+	if kind&2 != 0 {
+		update.Revision = &configpb.Revision{Number: update.Newest, Document: document, Checksum: update.NewestChecksum}
+	}
+	if kind&4 != 0 {
+		update.NewestChecksum += r.number()
+	}
+	if kind&8 != 0 && update.Revision != nil {
+		update.Revision.Checksum += r.number()
+		update.Revision.Number += r.number()
+	}
+	if kind&16 != 0 {
+		update.Report = r.number()
+	}
+	return update
+}
+
+// slowFollower is the oracle: it keeps every revision that was ever acceptable in a list and looks through all of it.
+type slowFollower struct {
+	accepted []*configpb.Revision
+	handed   []uint64
+	busy     bool
+	inForce  uint64
+	refused  uint64
+}
+
+func (o *slowFollower) receive(update *configpb.Update, sequence uint64, present bool) {
+	if !present || update == nil || update.Revision == nil {
+		return
+	}
+	revision := update.Revision
+	if update.Report == 0 || update.Report > sequence {
+		return
+	}
+	if revision.Number == 0 || revision.Number != update.Newest || revision.Checksum != update.NewestChecksum {
+		return
+	}
+	if n := len(revision.Document); n == 0 || n > distribution.MaxDocument {
+		return
+	}
+	if distribution.Checksum(revision.Document) != revision.Checksum {
+		return
+	}
+	for _, old := range o.accepted {
+		if old.Number >= revision.Number {
+			return
+		}
+	}
+	o.accepted = append(o.accepted, revision)
+}
+
+// handOut returns the number that is to be applied next; 0: none.
+func (o *slowFollower) handOut() uint64 {
+	if o.busy || len(o.accepted) == 0 {
+		return 0
+	}
+	newest := o.accepted[len(o.accepted)-1].Number
+	for _, old := range o.handed {
+		if old == newest {
+			return 0
+		}
+	}
+	o.handed = append(o.handed, newest)
+	o.busy = true
+	return newest
+}
+
+// FuzzFollowerReceive feeds a follower updates, ends of streams and passing time, and compares what it hands out and
+// reports with the oracle.
+func FuzzFollowerReceive(f *testing.F) {
+	f.Add([]byte{0, 2, 1, 0, 0, 0, 5, 0, 2, 2, 0, 0, 0})
+	f.Add([]byte{0, 255, 0, 3, 3, 0, 1, 0, 1, 1, 9, 1, 3, 4, 5, 6})
+	f.Add([]byte{0, 2, 5, 0, 0, 0, 6, 0, 6, 5, 0, 0, 1, 3, 0, 2, 4, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r, oracle := &bytesReader{data}, &slowFollower{}
+		follower, stream, now := newFollower(t, 3)
+		sequence, applying := uint64(1), uint64(0)
+		for steps := 0; len(r.data) > 0 && steps < 300; steps++ {
+			switch r.byte() % 8 {
+			case 0, 1, 2:
+				update := fuzzedUpdate(r, sequence)
+				follower.Receive(now, stream, update)
+				oracle.receive(update, sequence, stream != 0)
+			case 3:
+				update := fuzzedUpdate(r, sequence)
+				follower.Receive(now, stream+1, update) // of another stream
+			case 4:
+				now = now.Add(time.Duration(r.byte()) * 20 * time.Millisecond)
+				follower.Tick(now)
+			case 5:
+				if applying != 0 {
+					follower.Applied(now, applying)
+					oracle.inForce, oracle.busy, applying = applying, false, 0
+				}
+			case 6:
+				if applying != 0 {
+					follower.Refused(now, applying, "key", string(r.byte()))
+					oracle.refused, oracle.busy, applying = applying, false, 0
+				}
+			case 7:
+				follower.Ended(now, stream)
+			}
+			ready := follower.Ready(now)
+			if ready.Open != nil {
+				sequence = 0
+			}
+			if ready.Report != nil {
+				sequence++
+				require.Equal(t, sequence, ready.Report.GetSequence())
+				require.Equal(t, oracle.inForce, ready.Report.GetInForce())
+			}
+			stream = ready.Stream
+			want := oracle.handOut()
+			require.Equal(t, want, ready.Apply.GetNumber())
+			if want != 0 {
+				applying = want
+			}
+			status := follower.Status(now)
+			require.Equal(t, oracle.inForce, status.InForce)
+			if oracle.refused > oracle.inForce {
+				require.Equal(t, oracle.refused, status.Refusal.GetNumber())
+			} else {
+				require.Nil(t, status.Refusal)
+			}
+			require.GreaterOrEqual(t, status.Behind, time.Duration(0))
+			require.Less(t, follower.Wake().Sub(now), 11*time.Second)
+		}
+	})
+}
+
+// FuzzHubReport feeds a hub reports of a few brokers over a few sessions, and compares its book with an oracle that
+// counts over all brokers anew.
+func FuzzHubReport(f *testing.F) {
+	f.Add([]byte{0, 1, 0, 0, 1, 1, 1, 1, 0, 1, 1, 1, 2, 1, 2, 0})
+	f.Add([]byte{0, 0, 1, 0, 1, 1, 1, 1, 1, 1, 1, 2, 1, 2, 2, 0, 3, 0, 4, 9})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r, h, now := &bytesReader{data}, distribution.NewHub(), epoch
+		newest := uint64(0)
+		var sessions []distribution.SessionID
+		for steps := 0; len(r.data) > 0 && steps < 300; steps++ {
+			switch r.byte() % 5 {
+			case 0:
+				if id, err := h.Open(now); err == nil {
+					sessions = append(sessions, id)
+				}
+			case 1:
+				if len(sessions) > 0 {
+					id := sessions[int(r.byte())%len(sessions)]
+					report := fuzzedReport(r)
+					before := h.Counts()
+					err := h.Report(now, id, report)
+					after := h.Counts()
+					dropped := after.Malformed + after.Foreign + after.Older - before.Malformed - before.Foreign - before.Older
+					if err == nil {
+						require.EqualValues(t, 1, after.Taken-before.Taken+dropped)
+					}
+					require.LessOrEqual(t, after.Taken-before.Taken+dropped, uint64(1))
+				}
+			case 2:
+				newest += uint64(r.byte()%3) + 1
+				require.NoError(t, h.Newest(now, revisionOf(newest)))
+			case 3:
+				if len(sessions) > 0 {
+					h.Close(now, sessions[int(r.byte())%len(sessions)])
+				}
+			case 4:
+				now = now.Add(time.Duration(r.byte()) * 100 * time.Millisecond)
+				for _, id := range sessions {
+					update, _, err := h.Next(now, id)
+					if err == nil && update.GetRevision() != nil {
+						require.Equal(t, newest, update.GetRevision().GetNumber())
+					}
+				}
+			}
+			requireBook(t, h.Status(now))
+		}
+	})
+}
+
+func fuzzedReport(r *bytesReader) *configpb.Report {
+	report := &configpb.Report{
+		Name:          string(rune('a' + r.byte()%3)),
+		StartedUnixMs: int64(r.number()),
+		InForce:       r.number(),
+		Sequence:      r.number(),
+	}
+	switch r.byte() % 8 {
+	case 1:
+		report.Refusal = &configpb.Refusal{Number: r.number()}
+	case 2:
+		report.Zone = string([]byte{r.byte()})
+	case 3:
+		return nil
+	}
+	return report
+}
+
+// requireBook counts each booked revision's brokers anew.
+func requireBook(t *testing.T, status distribution.Status) {
+	for i, x := range status.InForce {
+		have, connected := 0, 0
+		for _, broker := range status.Brokers {
+			if broker.GetConnected() {
+				connected++
+				if broker.GetReport().GetInForce() >= x.GetNumber() {
+					have++
+				}
+			}
+		}
+		require.EqualValues(t, have, x.GetBrokers())
+		require.LessOrEqual(t, int(x.GetLagging())+have, connected)
+		if connected > 0 && have == connected {
+			require.NotZero(t, x.GetEverywhereUnixMs(), "revision %d", x.GetNumber())
+		}
+		if i > 0 {
+			require.Less(t, x.GetNumber(), status.InForce[i-1].GetNumber())
+		}
+	}
+}
--- /dev/null
+++ b/internal/distribution/hub_test.go
@@ -0,0 +1,226 @@
+package distribution_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mothrouter/internal/configpb"
+	"mothrouter/internal/distribution"
+)
+
+func revisionOf(number uint64) *configpb.Revision {
+	document := fmt.Appendf(nil, `{"number":%d}`, number)
+	return &configpb.Revision{
+		Number:          number,
+		Checksum:        distribution.Checksum(document),
+		Document:        document,
+		PublishedUnixMs: epoch.UnixMilli(),
+	}
+}
+
+func reportOf(name string, sequence, inForce uint64) *configpb.Report {
+	return &configpb.Report{Name: name, StartedUnixMs: 1000, Zone: "a", InForce: inForce, Sequence: sequence}
+}
+
+// openSession opens a session with a first report.
+func openSession(t testing.TB, h *distribution.Hub, now time.Time, name string, inForce uint64) distribution.SessionID {
+	id, err := h.Open(now)
+	require.NoError(t, err)
+	require.NoError(t, h.Report(now, id, reportOf(name, 1, inForce)))
+	return id
+}
+
+func next(t testing.TB, h *distribution.Hub, now time.Time, id distribution.SessionID) *configpb.Update {
+	update, wake, err := h.Next(now, id)
+	require.NoError(t, err)
+	require.True(t, wake.After(now))
+	return update
+}
+
+func TestASessionGetsTheNewestRevisionOnlyAndThenHeartbeats(t *testing.T) {
+	h := distribution.NewHub()
+	id := openSession(t, h, epoch, "b", 0)
+	require.Zero(t, next(t, h, epoch, id).GetNewest())
+	for number := uint64(1); number <= 3; number++ {
+		require.NoError(t, h.Newest(epoch, revisionOf(number)))
+	}
+	h.Confirmed(epoch)
+	update := next(t, h, epoch.Add(70*time.Millisecond), id)
+	require.EqualValues(t, 3, update.GetRevision().GetNumber())
+	require.EqualValues(t, 70, update.GetConfirmedMs())
+	require.EqualValues(t, 1, update.GetReport())
+	require.Nil(t, next(t, h, epoch.Add(time.Second), id))
+	update = next(t, h, epoch.Add(1070*time.Millisecond), id)
+	require.EqualValues(t, 3, update.GetNewest())
+	require.Nil(t, update.GetRevision())
+	require.EqualValues(t, 1070, update.GetReportMs())
+}
+
+func TestARevisionThatIsNotReportedIsSentAgainMoreAndMoreSeldom(t *testing.T) {
+	h := distribution.NewHub()
+	require.NoError(t, h.Newest(epoch, revisionOf(1)))
+	id := openSession(t, h, epoch, "b", 0)
+	var sent []time.Duration
+	for at, sequence := time.Duration(0), uint64(2); at < time.Minute; at += 100 * time.Millisecond {
+		if at%distribution.ReportEvery == 0 {
+			require.NoError(t, h.Report(epoch.Add(at), id, reportOf("b", sequence, 0)))
+			sequence++
+		}
+		if update, _, err := h.Next(epoch.Add(at), id); err == nil && update.GetRevision() != nil {
+			sent = append(sent, at)
+		}
+	}
+	require.Equal(t, []time.Duration{0, 3 * time.Second, 9 * time.Second, 21 * time.Second, 45 * time.Second}, sent)
+	require.Equal(t, []string{"b"}, h.Lagging(epoch.Add(time.Minute)))
+	refusing := reportOf("b", 100, 0)
+	refusing.Refusal = &configpb.Refusal{Number: 1, Key: "settings.port"}
+	require.NoError(t, h.Report(epoch.Add(time.Minute), id, refusing))
+	require.Empty(t, h.Lagging(epoch.Add(time.Minute)), "it has refused the revision")
+	for at := time.Minute; at < 90*time.Second; at += 100 * time.Millisecond {
+		require.Nil(t, next(t, h, epoch.Add(at), id).GetRevision())
+	}
+}
+
+func TestReportsThatCannotBeAreCountedAndDropped(t *testing.T) {
+	h := distribution.NewHub()
+	require.NoError(t, h.Newest(epoch, revisionOf(9)))
+	id := openSession(t, h, epoch, "b", 5)
+	spoil := func(change func(*configpb.Report)) *configpb.Report {
+		report := reportOf("b", 7, 6)
+		change(report)
+		return report
+	}
+	for _, x := range []struct {
+		report *configpb.Report
+		count  func(distribution.ReportCounts) uint64
+	}{
+		{nil, malformed},
+		{spoil(func(r *configpb.Report) { r.Name = "" }), malformed},
+		{spoil(func(r *configpb.Report) { r.Name = strings.Repeat("x", 129) }), malformed},
+		{spoil(func(r *configpb.Report) { r.Zone = "\xff" }), malformed},
+		{spoil(func(r *configpb.Report) { r.StartedUnixMs = 0 }), malformed},
+		{spoil(func(r *configpb.Report) { r.Sequence = 0 }), malformed},
+		{spoil(func(r *configpb.Report) { r.Refusal = &configpb.Refusal{Number: 6} }), malformed},
+		{spoil(func(r *configpb.Report) { r.Refusal = &configpb.Refusal{Number: 7, Key: strings.Repeat("x", 257)} }), malformed},
+		{spoil(func(r *configpb.Report) { r.Name = "other" }), foreign},
+		{spoil(func(r *configpb.Report) { r.StartedUnixMs = 999 }), foreign},
+		{spoil(func(r *configpb.Report) { r.InForce = 4 }), older},
+		{spoil(func(r *configpb.Report) { r.Sequence = 1 }), older},
+	} {
+		before := x.count(h.Counts())
+		require.NoError(t, h.Report(epoch, id, x.report))
+		require.Equal(t, before+1, x.count(h.Counts()), "%v", x.report)
+		require.EqualValues(t, 5, h.Status(epoch).Brokers[0].GetReport().GetInForce())
+	}
+	require.EqualValues(t, 1, h.Counts().Taken)
+}
+
+func malformed(c distribution.ReportCounts) uint64 { return c.Malformed }
+func foreign(c distribution.ReportCounts) uint64   { return c.Foreign }
+func older(c distribution.ReportCounts) uint64     { return c.Older }
+
+func TestARestartedBrokerTakesThePlaceOfItsFormerSession(t *testing.T) {
+	h := distribution.NewHub()
+	old := openSession(t, h, epoch, "b", 3)
+	restarted, err := h.Open(epoch)
+	require.NoError(t, err)
+	report := reportOf("b", 1, 0)
+	report.StartedUnixMs = 2000
+	require.NoError(t, h.Report(epoch, restarted, report))
+	require.ErrorIs(t, h.Check(epoch, old), distribution.ErrSuperseded)
+	h.Close(epoch, old)
+	require.True(t, h.Status(epoch).Brokers[0].GetConnected())
+
+	late, err := h.Open(epoch)
+	require.NoError(t, err)
+	require.ErrorIs(t, h.Report(epoch, late, reportOf("b", 1, 3)), distribution.ErrSuperseded)
+	require.EqualValues(t, 2000, h.Status(epoch).Brokers[0].GetReport().GetStartedUnixMs())
+}
+
+func TestASilentSessionEnds(t *testing.T) {
+	h := distribution.NewHub()
+	id, err := h.Open(epoch)
+	require.NoError(t, err)
+	require.NoError(t, h.Check(epoch.Add(distribution.FirstReportLimit-1), id))
+	require.ErrorIs(t, h.Check(epoch.Add(distribution.FirstReportLimit), id), distribution.ErrSilent)
+	require.NoError(t, h.Report(epoch, id, reportOf("b", 1, 0)))
+	require.NoError(t, h.Check(epoch.Add(distribution.SessionSilence-1), id))
+	_, _, err = h.Next(epoch.Add(distribution.SessionSilence), id)
+	require.ErrorIs(t, err, distribution.ErrSilent)
+	h.Close(epoch, id)
+	require.ErrorIs(t, h.Check(epoch, id), distribution.ErrNoSession)
+}
+
+func TestTheBookTellsWhenARevisionWasInForceEverywhere(t *testing.T) {
+	h := distribution.NewHub()
+	a, b := openSession(t, h, epoch, "a", 0), openSession(t, h, epoch, "b", 0)
+	for number := uint64(1); number <= 70; number++ {
+		require.NoError(t, h.Newest(epoch.Add(time.Duration(number)), revisionOf(number)))
+	}
+	require.NoError(t, h.Report(epoch.Add(time.Second), a, reportOf("a", 2, 70)))
+	status := h.Status(epoch.Add(9 * time.Second))
+	require.Len(t, status.InForce, distribution.BookedRevisions)
+	newest := status.InForce[0]
+	require.EqualValues(t, 70, newest.GetNumber())
+	require.EqualValues(t, 1, newest.GetBrokers())
+	require.EqualValues(t, 1, newest.GetLagging())
+	require.Zero(t, newest.GetEverywhereUnixMs())
+	require.NoError(t, h.Report(epoch.Add(10*time.Second), b, reportOf("b", 2, 69)))
+	status = h.Status(epoch.Add(10 * time.Second))
+	require.Zero(t, status.InForce[0].GetEverywhereUnixMs())
+	require.Equal(t, epoch.Add(10*time.Second).UnixMilli(), status.InForce[1].GetEverywhereUnixMs())
+	h.Close(epoch.Add(11*time.Second), b)
+	status = h.Status(epoch.Add(11 * time.Second))
+	require.Equal(t, epoch.Add(11*time.Second).UnixMilli(), status.InForce[0].GetEverywhereUnixMs(), "b is cut off")
+}
+
+func TestABrokerThatIsCutOffIsRememberedForAWhile(t *testing.T) {
+	h := distribution.NewHub()
+	id := openSession(t, h, epoch, "b", 1)
+	h.Close(epoch.Add(time.Second), id)
+	broker := h.Status(epoch.Add(3 * time.Second)).Brokers[0]
+	require.False(t, broker.GetConnected())
+	require.EqualValues(t, 2000, broker.GetSilentMs())
+	require.Len(t, h.Status(epoch.Add(time.Second+distribution.RememberCutOff)).Brokers, 1)
+	require.Empty(t, h.Status(epoch.Add(2*time.Second+distribution.RememberCutOff)).Brokers)
+}
+
+func TestSessionsAndBrokersAreBounded(t *testing.T) {
+	h := distribution.NewHub()
+	for i := range 2 * distribution.MaxBrokers {
+		id := openSession(t, h, epoch.Add(time.Duration(i)), fmt.Sprint("b", i), 0)
+		h.Close(epoch.Add(time.Duration(i)), id)
+	}
+	status := h.Status(epoch.Add(time.Second))
+	require.Len(t, status.Brokers, distribution.MaxBrokers)
+	for _, broker := range status.Brokers {
+		require.NotEqual(t, "b0", broker.GetReport().GetName(), "the first that was cut off is forgotten first")
+	}
+	for range distribution.MaxSessions {
+		_, err := h.Open(epoch)
+		require.NoError(t, err)
+	}
+	_, err := h.Open(epoch)
+	require.ErrorIs(t, err, distribution.ErrFull)
+}
+
+func TestOnlyWholeAndNewerRevisionsAreDistributed(t *testing.T) {
+	h := distribution.NewHub()
+	require.NoError(t, h.Newest(epoch, revisionOf(2)))
+	require.NoError(t, h.Newest(epoch, revisionOf(2)))
+	require.ErrorIs(t, h.Newest(epoch, revisionOf(1)), distribution.ErrOlder)
+	other := revisionOf(2)
+	other.Document = []byte("{}")
+	require.ErrorIs(t, h.Newest(epoch, other), distribution.ErrTorn)
+	other.Checksum = distribution.Checksum(other.Document)
+	require.ErrorIs(t, h.Newest(epoch, other), distribution.ErrConflict)
+	require.ErrorIs(t, h.Newest(epoch, nil), distribution.ErrNoNumber)
+	require.ErrorIs(t, h.Newest(epoch, &configpb.Revision{Number: 3}), distribution.ErrEmpty)
+	large := &configpb.Revision{Number: 3, Document: make([]byte, distribution.MaxDocument+1)}
+	require.ErrorIs(t, h.Newest(epoch, large), distribution.ErrTooLarge)
+	require.EqualValues(t, 2, h.Status(epoch).Newest)
+}
