--- a/internal/cores/configure_test.go
+++ b/internal/cores/configure_test.go
@@ -23,9 +23,14 @@
 	mu     sync.Mutex
 	heard  []decision.Event // Configured and Query
 	silent bool
-	hold   chan struct{} // a Timer with token hold waits for it
+	hold   chan struct{} // a Timer with token tokenHold waits for it
+	holds  chan struct{} // and tells so
+	once   sync.Once
 }
 
+// goOn lets a loop that waits go on.
+func (d *recorder) goOn() { d.once.Do(func() { close(d.hold) }) }
+
 const (
 	tokenHold = iota
 	tokenDie
@@ -38,6 +43,7 @@
 			if e.Token == tokenDie {
 				panic("as the test says")
 			}
+			d.holds <- struct{}{}
 			<-d.hold
 		case decision.Configured:
 			d.keep(e)
@@ -70,7 +76,7 @@
 	r.Group = New(Options{Workers: workers, Settings: settings(1, 0), OpenCap: openCap, Seed: 7,
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Decider: func(int, decision.Settings, uint64) decision.Decider {
-			d := &recorder{hold: make(chan struct{}), silent: silent}
+			d := &recorder{hold: make(chan struct{}), holds: make(chan struct{}, 1), silent: silent}
 			r.deciders = append(r.deciders, d)
 			return d
 		}}, nil)
@@ -82,6 +88,9 @@
 	}()
 	t.Cleanup(func() {
 		cancel()
+		for _, d := range r.deciders {
+			d.goOn()
+		}
 		<-ended
 	})
 	return r
@@ -180,13 +189,14 @@
 			r := newRecorded(t, 1, 2, true)
 			require.NoError(t, r.Configure(broker.Change{Classes: classesOf(0.2), OpenCap: 2}))
 			r.Tell(decision.Timer{Token: tokenHold})
+			<-r.deciders[0].holds
 			early := r.query(c.parts)
 			done := make(chan error, 1)
 			behind := r.workers[0].b.Behind()
 			go func() { done <- r.Configure(broker.Change{Classes: classesOf(0.3), OpenCap: c.cap}) }()
 			require.Eventually(t, func() bool { return r.workers[0].b.Behind() > behind }, 5*time.Second, time.Millisecond)
 			late := r.query(c.parts)
-			close(r.deciders[0].hold)
+			r.deciders[0].goOn()
 			require.NoError(t, <-done)
 			require.Equal(t, c.before, r.outcome(early))
 			require.Equal(t, c.after, r.outcome(late))
@@ -198,6 +208,7 @@
 func TestTheSharedCapWaitsForTheLastWorker(t *testing.T) {
 	r := newRecorded(t, 2, 2, true)
 	r.workers[0].b.Tell(decision.Timer{Token: tokenHold})
+	<-r.deciders[0].holds
 	done := make(chan error, 1)
 	go func() { done <- r.Configure(broker.Change{Classes: classesOf(0.4), OpenCap: 6}) }()
 	require.Eventually(t, func() bool {
@@ -207,7 +218,7 @@
 		return len(d.heard) == 1
 	}, 5*time.Second, time.Millisecond)
 	require.False(t, r.open.Take(3), "the cap came into force ahead of a worker's classes")
-	close(r.deciders[0].hold)
+	r.deciders[0].goOn()
 	require.NoError(t, <-done)
 	require.True(t, r.open.Take(6))
 	require.False(t, r.open.Take(1))
@@ -217,11 +228,12 @@
 func TestAChangeWithADeadWorker(t *testing.T) {
 	r := newRecorded(t, 2, 2, true)
 	r.workers[0].b.Tell(decision.Timer{Token: tokenHold})
+	<-r.deciders[0].holds
 	r.workers[0].b.Tell(decision.Timer{Token: tokenDie})
 	done := make(chan error, 1)
 	go func() { done <- r.Configure(broker.Change{Classes: classesOf(0.4), OpenCap: 6}) }()
 	time.Sleep(20 * time.Millisecond)
-	close(r.deciders[0].hold)
+	r.deciders[0].goOn()
 	require.NoError(t, <-done)
 	<-r.Failed()
 	require.True(t, r.open.Take(6))
