--- /dev/null
+++ b/cmd/mothrouter/configuration.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"errors"
+	"log/slog"
+	"os"
+	"strings"
+	"sync"
+
+	"mothrouter/internal/assembly"
+	"mothrouter/internal/broker"
+	"mothrouter/internal/config"
+	"mothrouter/internal/configclient"
+	"mothrouter/internal/configpb"
+)
+
+// Bounds of a refusal, as control machines take it.
+const (
+	keyMost    = 256  // bytes
+	reasonMost = 1024 // bytes
+)
+
+// addConfiguration has control machines change the configuration in service.
+func (p *process) addConfiguration() error {
+	if p.files.configuration == "" {
+		return nil
+	}
+	machines, err := config.LoadConfiguration(p.files.configuration, p.cfg)
+	if err != nil {
+		return err
+	}
+	start, err := p.cfg.Document()
+	if err != nil {
+		return err
+	}
+	applier := &applier{start: start, core: p.core, followed: p.followed, log: p.log}
+	p.revisions, err = configclient.New(configclient.Options{
+		Name: machines.Name, Started: p.started, Zone: machines.Zone, Region: machines.Region, Control: machines.Control,
+		Callers: p.callers, Seed: p.cfg.Seed, Log: p.log, Apply: applier.apply,
+	})
+	if err != nil {
+		return err
+	}
+	p.parts.Add(assembly.Part{Name: "configuration", Run: p.revisions.Run})
+	return nil
+}
+
+// applier takes revisions of the configuration into force.
+type applier struct {
+	start    *config.Document // of the file of the start
+	core     interface{ Configure(broker.Change) error }
+	followed *followed
+	log      *slog.Logger
+}
+
+// apply takes a revision into force whole, and returns nil once it is; else it changes nothing and tells why.
+func (a *applier) apply(revision *configpb.Revision) *configpb.Refusal {
+	document, err := config.ParseDocument(revision.GetDocument())
+	if err == nil {
+		err = document.Changes(a.start)
+	}
+	if err == nil {
+		err = a.core.Configure(document.Change())
+	}
+	if err != nil {
+		return refusal(revision.GetNumber(), err)
+	}
+	a.followed.tell(document.Discovery, "revision")
+	a.log.Info("a revision was applied", "number", revision.GetNumber(), "discovery", document.Discovery,
+		"open_cap", document.OpenCap)
+	return nil
+}
+
+// refusal is an error in the form of control machines, by the key that is at fault.
+func refusal(number uint64, err error) *configpb.Refusal {
+	key, reason := "settings", err.Error()
+	if e := (*config.KeyError)(nil); errors.As(err, &e) {
+		key, reason = e.Key, e.Reason
+	}
+	return &configpb.Refusal{Number: number, Key: clip(key, keyMost), Reason: clip(reason, reasonMost)}
+}
+
+// clip is the text in UTF-8, in so many bytes at most.
+func clip(text string, most int) string {
+	text = strings.ToValidUTF8(text, "?")
+	if len(text) <= most {
+		return text
+	}
+	return strings.ToValidUTF8(text[:most], "")
+}
+
+// followed is the address at which the server list is followed. The file that is read again on SIGHUP and revisions
+// of the configuration tell it; the last one told wins. A revision tells it each time one comes into force, the file
+// where its address differs from when it was last read: a SIGHUP for another key takes no revision back.
+type followed struct {
+	mu      sync.Mutex
+	address string
+	move    func(address string)
+	log     *slog.Logger
+}
+
+// tell moves the watch of the server list, unless it is there.
+func (f *followed) tell(address, by string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if address == f.address {
+		return
+	}
+	f.log.Info("discovery moves", "from", f.address, "to", address, "told by", by)
+	f.address = address
+	f.move(address)
+}
+
+// reload takes up the file again on each SIGHUP. A bad one changes nothing.
+func reload(hup <-chan os.Signal, cfg *config.Config, followed *followed, log *slog.Logger) {
+	for range hup {
+		next, waiting, err := cfg.Reload()
+		if err != nil {
+			log.Error("the new configuration cannot be used, the old one holds", "err", err)
+			continue
+		}
+		if next.Discovery != cfg.Discovery {
+			followed.tell(next.Discovery, "file")
+		}
+		cfg = next
+		log.Info("configuration read again", "discovery", cfg.Discovery, "wait for a start", waiting)
+	}
+}
