--- /dev/null
+++ b/cmd/mothrouter/configuration_test.go
@@ -0,0 +1,248 @@
+package main_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+
+	"mothrouter/internal/confighub"
+	"mothrouter/internal/configpb"
+	"mothrouter/internal/distribution"
+)
+
+// controlMachine serves what the test publishes, on loopback.
+type controlMachine struct {
+	configpb.UnimplementedControlServer
+	hub     *confighub.Hub
+	grpc    *grpc.Server
+	address string
+	newest  *configpb.Revision
+	ended   chan struct{}
+}
+
+func (m *controlMachine) Follow(stream grpc.BidiStreamingServer[configpb.Report, configpb.Update]) error {
+	return m.hub.Follow(stream)
+}
+
+func newControlMachine(t *testing.T) *controlMachine {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	m := &controlMachine{hub: confighub.New(slog.New(slog.DiscardHandler)),
+		grpc: grpc.NewServer(confighub.ServerOptions()...), address: l.Addr().String(), ended: make(chan struct{})}
+	configpb.RegisterControlServer(m.grpc, m)
+	go func() {
+		defer close(m.ended)
+		_ = m.grpc.Serve(l)
+	}()
+	t.Cleanup(m.stop)
+	return m
+}
+
+func (m *controlMachine) stop() {
+	m.grpc.Stop()
+	<-m.ended
+}
+
+// publish has a document be the newest revision.
+func (m *controlMachine) publish(t *testing.T, document string) uint64 {
+	m.newest = &configpb.Revision{Number: m.newest.GetNumber() + 1, Document: []byte(document),
+		Checksum: distribution.Checksum([]byte(document)), PublishedUnixMs: time.Now().UnixMilli()}
+	require.NoError(t, m.hub.SetNewest(m.newest, time.Now()))
+	return m.newest.GetNumber()
+}
+
+// flags are those of a broker that follows the machine.
+func (m *controlMachine) flags(t *testing.T) []string {
+	path := filepath.Join(t.TempDir(), "configuration.toml")
+	text := fmt.Sprintf("zone = \"bern-1\"\n[[control]]\naddress = %q\n", m.address)
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return []string{"-configuration", path}
+}
+
+// documentOf is the document of the file that the broker was started with, changed by pairs of old and new text.
+func (o *operated) documentOf(changes ...string) string {
+	text, err := os.ReadFile(o.config)
+	require.NoError(o.t, err)
+	var file struct {
+		Discovery string          `json:"discovery"`
+		Settings  json.RawMessage `json:"settings"`
+	}
+	require.NoError(o.t, json.Unmarshal(text, &file))
+	document, err := json.Marshal(file)
+	require.NoError(o.t, err)
+	for i := 0; i < len(changes); i += 2 {
+		require.Contains(o.t, string(document), changes[i])
+		document = []byte(strings.Replace(string(document), changes[i], changes[i+1], 1))
+	}
+	return string(document)
+}
+
+// logs waits until the program has logged a line with all of the words.
+func (o *operated) logs(words ...string) {
+	o.t.Helper()
+	require.Eventually(o.t, func() bool { return o.logged(words...) }, 10*time.Second, 20*time.Millisecond,
+		"no line has all of %q in\n%s", words, &o.log)
+}
+
+func (o *operated) logged(words ...string) bool {
+	for line := range strings.Lines(o.log.String()) {
+		all := true
+		for _, word := range words {
+			all = all && strings.Contains(line, word)
+		}
+		if all {
+			return true
+		}
+	}
+	return false
+}
+
+// load has clients ask until stop is called, which returns the answers of those that were not served. Served is how many
+// were so far.
+func (o *operated) load(clients int) (served *atomic.Int64, stop func() (others []string)) {
+	var asking sync.WaitGroup
+	var mu sync.Mutex
+	var ended atomic.Bool
+	var others []string
+	served = new(atomic.Int64)
+	for i := range clients {
+		asking.Go(func() {
+			c := o.dial()
+			for n := 0; !ended.Load(); n++ {
+				answer := c.asks(query(fmt.Sprintf("l%d-%d", i, n)))
+				if strings.Contains(answer, " 200 ") {
+					served.Add(1)
+					continue
+				}
+				mu.Lock()
+				others = append(others, answer)
+				mu.Unlock()
+			}
+		})
+	}
+	return served, func() []string {
+		ended.Store(true)
+		asking.Wait()
+		return others
+	}
+}
+
+// Revisions come into force while clients ask, with one loop and with several: no request is lost. One that needs a
+// restart is refused by its key, and the one before it stays in force, as does the file where no control machine is.
+func TestRevisionsComeIntoForceUnderLoad(t *testing.T) {
+	for _, cores := range []bool{false, true} {
+		t.Run(fmt.Sprint("several cores ", cores), func(t *testing.T) {
+			t.Parallel()
+			m := newControlMachine(t)
+			flags := m.flags(t)
+			if cores {
+				flags = append(flags, "-cores", "../../deploy/cores.toml")
+			}
+			o := operateWith(t, flags)
+			o.logs("following a control machine")
+			served, stop := o.load(4)
+			for i := range 20 {
+				number := m.publish(t, o.documentOf(`"openCap":400`, fmt.Sprintf(`"openCap":%d`, 300+i),
+					`"deadlineS":4,"objectiveS":1`, fmt.Sprintf(`"deadlineS":%g,"objectiveS":0.9`, 3+0.1*float64(i))))
+				o.logs("a revision is in force", fmt.Sprintf(" number=%d ", number))
+				before := served.Load()
+				require.Eventually(t, func() bool { return served.Load() >= before+10 }, patience, time.Millisecond)
+			}
+			refused := m.publish(t, o.documentOf(`"semantics":"single_shot"`, `"semantics":"free"`, `"openCap":400`, `"openCap":1`))
+			o.logs("a revision is refused", fmt.Sprintf(" number=%d ", refused), "settings.classes[1].semantics", "in_force=20")
+			require.Empty(t, stop())
+			require.GreaterOrEqual(t, served.Load(), int64(200))
+			require.Contains(t, o.dial().asks(query("held-by-the-refused-cap")), " 200 ")
+
+			number := m.publish(t, o.documentOf(`"openCap":400`, `"openCap":1`)) // not even one query of a part
+			o.logs("a revision is in force", fmt.Sprintf(" number=%d ", number))
+			require.Contains(t, o.dial().asks(query("no-room")), " 503 ")
+
+			m.stop()
+			o.logs("lost a control machine")
+			require.Contains(t, o.dial().asks(query("no-room-still")), " 503 ")
+			require.NoError(t, o.cmd.Process.Signal(syscall.SIGTERM))
+			require.NoError(t, o.cmd.Wait())
+
+			again := operateWith(t, flags) // nobody answers at the control machine's address
+			require.Contains(t, again.dial().asks(query("by-the-file")), " 200 ")
+			again.logs("serving by the file of the start")
+		})
+	}
+}
+
+// The address of discovery that was told last wins, whether by a revision or by the file on SIGHUP.
+func TestTheLastAddressOfDiscoveryWins(t *testing.T) {
+	t.Parallel()
+	m := newControlMachine(t)
+	o := operateWith(t, m.flags(t))
+	o.logs("following a control machine")
+	first := o.listener("discovery").Addr().String()
+	var places []net.Listener
+	for range 2 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { l.Close() })
+		places = append(places, l)
+	}
+	called := func(l net.Listener) {
+		require.NoError(t, l.(*net.TCPListener).SetDeadline(time.Now().Add(patience)))
+		c, err := l.Accept()
+		require.NoError(t, err)
+		c.Close()
+	}
+	start := o.documentOf()
+	second, third := places[0].Addr().String(), places[1].Addr().String()
+	m.publish(t, strings.Replace(start, first, second, 1))
+	called(places[0])
+	o.logs("discovery moves", first, second, "revision")
+
+	text, err := os.ReadFile(o.config)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(o.config, []byte(strings.Replace(string(text), first, third, 1)), 0o600))
+	require.NoError(t, o.cmd.Process.Signal(syscall.SIGHUP))
+	called(places[1])
+	o.logs("discovery moves", second, third, "file")
+	require.NoError(t, o.cmd.Process.Signal(syscall.SIGHUP)) // unchanged: it says nothing of discovery
+	m.publish(t, strings.Replace(start, first, second, 1)+" ")
+	o.logs("discovery moves", third, second, "revision")
+	require.NoError(t, o.cmd.Process.Signal(syscall.SIGHUP))
+	require.Eventually(t, func() bool { return strings.Count(o.log.String(), "configuration read again") == 3 }, patience,
+		20*time.Millisecond)
+	require.Equal(t, 3, strings.Count(o.log.String(), "discovery moves"), "%s", &o.log)
+}
+
+func TestABadConfigurationFileIsRefusedByKey(t *testing.T) {
+	t.Parallel()
+	for text, want := range map[string]string{
+		"": "configuration.control: names 0",
+		"speed = 1\n[[control]]\naddress = \"127.0.0.1:1\"":    "configuration.speed: is not known",
+		"[[control]]\naddress = \"x\"":                         "configuration.control[0].address: ",
+		"[[control]]\naddress = \"127.0.0.1:1\"\nweight = 2\n": "configuration.control.weight: is not known",
+	} {
+		p := newPlayer(t)
+		p.config = filepath.Join(t.TempDir(), "config.json")
+		config := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:1","settings":%s}`, fmt.Sprintf(profile, 15., 400))
+		require.NoError(t, os.WriteFile(p.config, []byte(config), 0o600))
+		path := filepath.Join(t.TempDir(), "configuration.toml")
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		cmd := exec.Command(program, "-configuration", path)
+		cmd.Env = append(os.Environ(), "PROXY_CONFIG="+p.config)
+		out, err := cmd.CombinedOutput()
+		require.Error(t, err)
+		require.Contains(t, string(out), want)
+	}
+}
