--- a/cmd/mothrouter/control.go
+++ b/cmd/mothrouter/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -74,7 +73,7 @@
 func validateDocument(document, newest []byte) *configpb.Refusal {
 	next, err := config.ParseDocument(document)
 	if err != nil {
-		return refusal(err)
+		return refusal(0, err)
 	}
 	if newest == nil {
 		return nil
@@ -83,17 +82,5 @@
 	if err != nil { // taken by another release of this program: brokers compare with what they serve by
 		return nil
 	}
-	return refusal(next.Changes(before))
-}
-
-// refusal is an error of the configuration by the key at fault, or nil.
-func refusal(err error) *configpb.Refusal {
-	if err == nil {
-		return nil
-	}
-	var fault *config.KeyError
-	if errors.As(err, &fault) {
-		return &configpb.Refusal{Key: fault.Key, Reason: fault.Reason}
-	}
-	return &configpb.Refusal{Key: "document", Reason: err.Error()}
+	return refusal(0, next.Changes(before))
 }
--- a/internal/scale/network.go
+++ b/internal/scale/network.go
@@ -105,7 +105,7 @@
 		w.nodes = append(w.nodes, x)
 	}
 	w.byAddr[x.addr] = x
-	heap.Push(&w.queue, arrival{at: w.now + time.Duration(w.rng.Int64N(int64(membership.Wake))), to: x})
+	heap.Push(&w.queue, arrival{at: w.now + time.Duration(w.rng.Int64N(int64(membership.TickEvery))), to: x})
 }
 
 // run plays to a time.
@@ -121,7 +121,7 @@
 		case x.dead:
 		case e.data == nil:
 			w.carry(x, x.Tick(w.now-x.began))
-			heap.Push(&w.queue, arrival{at: w.now + membership.Wake, to: x})
+			heap.Push(&w.queue, arrival{at: w.now + membership.TickEvery, to: x})
 		default:
 			x.heardBytes += plane.Size(e.data)
 			x.heardCount++
--- a/internal/scale/page.go
+++ b/internal/scale/page.go
@@ -61,12 +61,13 @@
 }
 
 func callBytes() float64 {
-	id := frame.PartID(strings.Repeat("q", 16), 4000)
-	return float64(len(frame.AppendCall(nil, id, 4000, 240, make([]byte, serviceText))))
+	id := frame.PartID(strings.Repeat("q", 16), 4000, false)
+	call := frame.Call{ID: id, Shard: 4000, WaitMS: 240, Text: make([]byte, serviceText)}
+	return float64(len(frame.AppendCall(nil, call)))
 }
 
 func answerBytes() float64 {
-	id := frame.PartID(strings.Repeat("q", 16), 4000)
+	id := frame.PartID(strings.Repeat("q", 16), 4000, false)
 	return float64(len(frame.Append(nil, 'R', id+" done 1 inflight=1,util=0.3\n"))) + assumedValue
 }
 
