Have the test of silent connections know what the link measured

Cause: an answer that comes before the writer has noted its call as written tells the link no time, so that silence is 400 ms and not eight times an answer; and an answer that took long makes it longer than the 100 ms that the test waited. It still fails where silence does not follow the time of answers.

--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -200,14 +200,17 @@
 // call goes by a new one, and the server is asked no more by the old.
 func TestCallsAvoidASilentConnection(t *testing.T) {
 	r := newRig(t, upstream.Options{Streams: 9, Idle: time.Minute, ConnectTimeout: time.Second})
+	asked := time.Now()
 	r.do(send(r.ask("a")))
 	first := r.accept()
 	first.gets('S', "a.0")
+	time.Sleep(20 * time.Millisecond) // an answer that comes before its call is noted as written tells no time
 	first.sends('R', "a.0 done 1 -\nv")
 	<-r.ended
+	took := time.Since(asked) // at least what the link measured, of which 8 times are silence
 	r.do(send(r.ask("lost")))
 	first.gets('S', "lost.0")
-	time.Sleep(100 * time.Millisecond)
+	time.Sleep(100*time.Millisecond + 8*took)
 	r.do(send(r.ask("next")))
 	second := r.accept()
 	second.gets('S', "next.0")
