--- /dev/null
+++ b/internal/raftlog/crash_test.go
@@ -0,0 +1,292 @@
+package raftlog
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.etcd.io/raft/v3/raftpb"
+)
+
+// The tests of crashes run this test binary again as a child that writes, and kill it.
+const (
+	childPath  = "RAFTLOG_CHILD_PATH"
+	childSeed  = "RAFTLOG_CHILD_SEED"
+	childFault = "RAFTLOG_CHILD_FAULT"
+	childLimit = "RAFTLOG_CHILD_LIMIT" // bytes of a file, after which the disk counts as full
+
+	faultEarly = "early" // tells that a write is saved before it is
+	kills      = 100
+)
+
+func TestMain(m *testing.M) {
+	if path := os.Getenv(childPath); path != "" {
+		os.Exit(runChild(path))
+	}
+	os.Exit(m.Run())
+}
+
+// runChild writes to a log until it is killed or the disk is full, and prints after each write the term, vote, commit
+// and last index that are saved.
+func runChild(path string) int {
+	seed, err := strconv.ParseUint(os.Getenv(childSeed), 10, 64)
+	if err != nil {
+		return 2
+	}
+	if limit, err := strconv.ParseUint(os.Getenv(childLimit), 10, 64); err == nil {
+		signal.Ignore(syscall.SIGXFSZ)
+		if err := syscall.Setrlimit(syscall.RLIMIT_FSIZE, &syscall.Rlimit{Cur: limit, Max: limit}); err != nil {
+			return 2
+		}
+	}
+	log, err := Open(path, testOptions)
+	if err != nil {
+		fmt.Println("error", err)
+		return 1
+	}
+	random := rand.New(rand.NewPCG(seed, 3))
+	for {
+		next := randomWrite(log, random)
+		if os.Getenv(childFault) == faultEarly {
+			fmt.Println("saved", next.describe())
+			time.Sleep(time.Millisecond)
+		}
+		if err := next.write(log); err != nil {
+			fmt.Println("error", err)
+			return 1
+		}
+		fmt.Println("saved", next.describe())
+	}
+}
+
+// randomSave is one write: a Save, and a Compact after it now and then.
+type randomSave struct {
+	hard    *raftpb.HardState
+	entries []*raftpb.Entry
+	compact bool
+}
+
+// randomWrite draws a write that fits the log. Its content depends on its indexes and terms alone.
+func randomWrite(log *Log, random *rand.Rand) randomSave {
+	hard := log.memory.hardState
+	last := log.memory.last().index
+	term := hard.GetTerm() + uint64(random.IntN(2))
+	first := hard.GetCommit() + 1 + uint64(random.Int64N(int64(last-hard.GetCommit()+1)))
+	var added []*raftpb.Entry
+	for index := first; index <= first+uint64(random.IntN(5)); index++ {
+		added = append(added, entry(index, term, contentOf(index, term)))
+	}
+	end := added[len(added)-1].GetIndex()
+	commit := hard.GetCommit() + uint64(random.Int64N(int64(end-hard.GetCommit()+1)))
+	return randomSave{hard: hardState(term, 1+term%3, commit), entries: added, compact: random.IntN(10) == 0}
+}
+
+func contentOf(index, term uint64) string {
+	return strings.Repeat(fmt.Sprint(index, term, ";"), int(index*term%700))
+}
+
+func (w randomSave) describe() string {
+	last := w.entries[len(w.entries)-1]
+	return fmt.Sprint(w.hard.GetTerm(), w.hard.GetVote(), w.hard.GetCommit(), last.GetIndex())
+}
+
+func (w randomSave) write(log *Log) error {
+	if err := log.Save(w.hard, w.entries, nil); err != nil {
+		return err
+	}
+	commit := w.hard.GetCommit()
+	if !w.compact || commit <= log.memory.snapshot.GetMetadata().GetIndex() {
+		return nil
+	}
+	term, err := log.Term(commit)
+	if err != nil {
+		return err
+	}
+	first := max(log.memory.compacted.index+1, commit-min(commit, 3))
+	return log.Compact(snapshotAt(commit, term, contentOf(commit, 7)), first)
+}
+
+// acknowledged is the last line of a child: what it told to be saved.
+type acknowledged struct {
+	term, vote, commit, last uint64
+}
+
+// startChild starts a child and returns what it prints.
+func startChild(t *testing.T, path string, seed uint64, settings ...string) (*exec.Cmd, *bufio.Scanner) {
+	t.Helper()
+	command := exec.Command(os.Args[0])
+	command.Env = append(os.Environ(), childPath+"="+path, childSeed+"="+strconv.FormatUint(seed, 10))
+	command.Env = append(command.Env, settings...)
+	output, err := command.StdoutPipe()
+	require.NoError(t, err)
+	require.NoError(t, command.Start())
+	return command, bufio.NewScanner(output)
+}
+
+// killChild lets a child write for a time after its first line and kills it. It returns the last line that came whole.
+func killChild(t *testing.T, path string, seed uint64, settings ...string) acknowledged {
+	t.Helper()
+	random := rand.New(rand.NewPCG(seed, 4))
+	command, lines := startChild(t, path, seed, settings...)
+	var last string
+	for lines.Scan() {
+		if last == "" {
+			time.AfterFunc(time.Duration(random.IntN(15_000))*time.Microsecond, func() { _ = command.Process.Kill() })
+		}
+		last = lines.Text()
+	}
+	_ = command.Wait() // it was killed
+	var told acknowledged
+	_, err := fmt.Sscanf(last, "saved %d %d %d %d", &told.term, &told.vote, &told.commit, &told.last)
+	require.NoError(t, err, "last line %q", last)
+	return told
+}
+
+// lost tells what a log lacks of what was acknowledged. One write more than that may be there, as a whole.
+func lost(log *Log, told acknowledged) error {
+	hard, last := log.memory.hardState, log.memory.last()
+	switch {
+	case hard.GetTerm() < told.term || hard.GetTerm() > told.term+1:
+		return fmt.Errorf("term %d, acknowledged was %d", hard.GetTerm(), told.term)
+	case hard.GetTerm() == told.term && hard.GetVote() != told.vote:
+		return fmt.Errorf("vote %d, acknowledged was %d", hard.GetVote(), told.vote)
+	case hard.GetCommit() < told.commit || last.index < told.commit:
+		return fmt.Errorf("commit %d of %d, acknowledged was %d", hard.GetCommit(), last.index, told.commit)
+	case hard.GetTerm() == told.term && hard.GetCommit() == told.commit && last.index < told.last && last.term < told.term:
+		return fmt.Errorf("last %d, acknowledged was %d", last.index, told.last)
+	}
+	for _, entry := range log.memory.entries {
+		if string(entry.GetData()) != contentOf(entry.GetIndex(), entry.GetTerm()) {
+			return fmt.Errorf("content of entry %d", entry.GetIndex())
+		}
+	}
+	return nil
+}
+
+// TestKilledWriterLosesNothingAcknowledged kills a writer a hundred times, at random moments of its writes, over the
+// same file.
+func TestKilledWriterLosesNothingAcknowledged(t *testing.T) {
+	log, path := create(t)
+	require.NoError(t, log.Close())
+	for kill := range uint64(kills) {
+		told := killChild(t, path, kill)
+		log, err := Open(path, testOptions)
+		require.NoError(t, err, "kill %d", kill)
+		require.NoError(t, lost(log, told), "kill %d", kill)
+		require.NoError(t, log.Close())
+	}
+}
+
+// TestEarlyAcknowledgementIsSeen plants a writer that tells of writes before they are saved: lost must see it.
+func TestEarlyAcknowledgementIsSeen(t *testing.T) {
+	for kill := range uint64(40) {
+		log, path := create(t)
+		require.NoError(t, log.Close())
+		told := killChild(t, path, kill, childFault+"="+faultEarly)
+		log, err := Open(path, testOptions)
+		require.NoError(t, err)
+		err = lost(log, told)
+		require.NoError(t, log.Close())
+		if err != nil {
+			t.Logf("seen after kill %d: %v", kill, err)
+			return
+		}
+	}
+	t.Error("not seen")
+}
+
+// TestFullDiskLosesNothingAcknowledged lets a writer run into a limit of its file, with an error of the system.
+func TestFullDiskLosesNothingAcknowledged(t *testing.T) {
+	log, path := create(t)
+	require.NoError(t, log.Close())
+	limit := 200 << 10
+	command, lines := startChild(t, path, 1, childLimit+"="+strconv.Itoa(limit))
+	var before, last string
+	for lines.Scan() {
+		before, last = last, lines.Text()
+	}
+	require.Error(t, command.Wait())
+	require.Contains(t, last, "error "+ErrFull.Error())
+	var told acknowledged
+	_, err := fmt.Sscanf(before, "saved %d %d %d %d", &told.term, &told.vote, &told.commit, &told.last)
+	require.NoError(t, err, "line before %q", before)
+	log, err = Open(path, testOptions)
+	require.NoError(t, err)
+	require.NoError(t, lost(log, told))
+	require.NoError(t, randomWrite(log, rand.New(rand.NewPCG(2, 2))).write(log), "there is room again")
+	require.NoError(t, log.Close())
+}
+
+func TestFullFileStopsTheLog(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	options := testOptions
+	options.MaxBytes = 1 << 20
+	log, err := Create(path, options, snapshotAt(1, 1, "start"))
+	require.NoError(t, err)
+	defer func() { require.NoError(t, log.Close()) }()
+	large := strings.Repeat("x", 64<<10)
+	for index := uint64(2); err == nil; index++ {
+		require.Less(t, index, uint64(40))
+		err = log.Save(hardState(1, 0, 1), []*raftpb.Entry{entry(index, 1, large)}, nil)
+	}
+	require.ErrorIs(t, err, ErrFull)
+	require.Equal(t, err, log.Save(hardState(2, 0, 1), nil, nil), "broken until it is opened anew")
+}
+
+// TestPowerCutInASave mixes the file before a save with the file after it, sector by sector: what a disk may hold when
+// the power fails. bbolt syncs its pages before it writes the meta page, which lies within one sector.
+func TestPowerCutInASave(t *testing.T) {
+	const sector = 512
+	random := rand.New(rand.NewPCG(5, 5))
+	log, path := create(t)
+	for range 10 {
+		require.NoError(t, randomWrite(log, random).write(log))
+	}
+	for round := range 60 {
+		before, stateBefore := readFile(t, path), log.memory
+		next := randomWrite(log, random)
+		next.compact = false
+		require.NoError(t, next.write(log))
+		after := readFile(t, path)
+		pageSize := os.Getpagesize()
+		mixed := bytes.Clone(after)
+		copy(mixed[:2*pageSize], before[:2*pageSize]) // neither meta page was written
+		for at := 2 * pageSize; at+sector <= len(before); at += sector {
+			if random.IntN(2) == 0 {
+				copy(mixed[at:at+sector], before[at:at+sector])
+			}
+		}
+		requireOpensAs(t, mixed, stateBefore, round)
+		copy(mixed[2*pageSize:], after[2*pageSize:])
+		requireOpensAs(t, mixed, stateBefore, round)
+		requireOpensAs(t, after, log.memory, round)
+	}
+}
+
+func readFile(t *testing.T, path string) []byte {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	require.NoError(t, err)
+	return data
+}
+
+func requireOpensAs(t *testing.T, content []byte, want memory, round int) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "cut")
+	require.NoError(t, os.WriteFile(path, content, fileMode))
+	log, err := Open(path, testOptions)
+	require.NoError(t, err, "round %d", round)
+	requireSame(t, want, log.memory)
+	require.NoError(t, log.Close())
+}
--- a/internal/raftlog/raftlog.go
+++ b/internal/raftlog/raftlog.go
@@ -21,7 +21,9 @@
 	"os"
 	"path/filepath"
 	"runtime/debug"
+	"strings"
 	"syscall"
+	"time"
 
 	bolt "go.etcd.io/bbolt"
 	berrors "go.etcd.io/bbolt/errors"
@@ -48,6 +50,7 @@
 const DefaultMaxBytes = 256 << 20
 
 const (
+	lockWait      = 500 * time.Millisecond
 	fileMode      = 0o600
 	magic         = "mothrouter raft log\n"
 	formatVersion = 1
@@ -170,10 +173,7 @@
 	if err != nil {
 		return nil, err
 	}
-	err = syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
-	if errors.Is(err, syscall.EWOULDBLOCK) {
-		err = fmt.Errorf("%w: %s", ErrLocked, name)
-	}
+	err = lock(file)
 	if err == nil {
 		err = verifyPages(file)
 	}
@@ -183,6 +183,20 @@
 	return file, nil
 }
 
+// lock takes the lock of a file. It waits a little: a system may release that of a killed process some time after it
+// has ended.
+func lock(file *os.File) error {
+	for deadline := time.Now().Add(lockWait); ; time.Sleep(lockWait / 50) {
+		err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+		if !errors.Is(err, syscall.EWOULDBLOCK) {
+			return err
+		}
+		if time.Now().After(deadline) {
+			return fmt.Errorf("%w: %s", ErrLocked, file.Name())
+		}
+	}
+}
+
 // Close closes the file. It is safe to call it twice.
 func (l *Log) Close() error {
 	if l.db == nil {
@@ -240,13 +254,20 @@
 	return diskError(err)
 }
 
-// diskError wraps ErrFull around the errors of a disk or file that can take no more.
+// diskError wraps ErrFull around the errors of a disk or file that can take no more. bbolt hands on some errors of the
+// system by their text alone.
 func diskError(err error) error {
-	full := errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) || errors.Is(err, syscall.EFBIG) ||
-		errors.Is(err, berrors.ErrMaxSizeReached)
-	if full {
+	if err == nil {
+		return nil
+	}
+	if errors.Is(err, berrors.ErrMaxSizeReached) {
 		return fmt.Errorf("%w: %w", ErrFull, err)
 	}
+	for _, full := range []syscall.Errno{syscall.ENOSPC, syscall.EDQUOT, syscall.EFBIG} {
+		if errors.Is(err, full) || strings.Contains(err.Error(), full.Error()) {
+			return fmt.Errorf("%w: %w", ErrFull, err)
+		}
+	}
 	return err
 }
 
