--- /dev/null
+++ b/internal/decision/differential_test.go
@@ -0,0 +1,316 @@
+package decision
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+)
+
+const differentialBatches = 1200 // of a day
+
+var differentialDays = flag.Int("days", 15, "random days on which the module is compared with its plain form")
+
+// day is a random course of events for one broker: its settings, its servers and what befalls them. Its servers answer
+// what the module sends, so that both forms meet the same world as long as their actions are equal.
+type day struct {
+	random   *rand.Rand
+	settings Settings
+	servers  []Server
+	faults   map[string]fault
+	now      float64
+	armed    float64 // the earliest timer out
+	queries  int64
+	requests []RequestID
+	attempts map[RequestID]int
+	due      []dueEvent
+	restarts int
+}
+
+type dueEvent struct {
+	at    float64
+	event Event
+}
+
+// fault is how a server fails.
+type fault struct {
+	status Status
+	share  float64 // of its attempts
+	slow   float64 // times its usual latency
+}
+
+func newDay(seed uint64) *day {
+	r := rand.New(rand.NewPCG(seed, 11))
+	pick := func(values ...int) int { return values[r.IntN(len(values))] }
+	maybe := func() bool { return r.IntN(2) == 0 }
+	d := &day{random: r, now: 100 + 1e6*float64(r.IntN(2)), armed: math.Inf(1), faults: map[string]fault{},
+		attempts: map[RequestID]int{}}
+	d.settings = Settings{
+		Brokers: pick(1, 3, 590), Zone: r.IntN(3), Cells: pick(1, 4, 30, 120), Reach: pick(1, 2, 3), BatchMax: pick(1, 8),
+		ReportMode: ReportMode(r.IntN(3)), AskForList: maybe(), AskWithin: 6, WorthByWork: maybe(), Tick: 0.005,
+		MaxAttempts: pick(0, 2, 4), MayCancel: maybe(), MayProbe: maybe(), MayCopy: maybe(), RetryAfter: maybe(),
+		MaxWait: 0.5, ColdShare: []float64{0.2, 0.5, 1, 1.5}[r.IntN(4)], WarmUp: float64(pick(0, 3, 17)), FallMultiple: 2.5,
+		FallTime: float64(pick(0, 1, 2)), Budget: maybe(), BudgetFree: 3, BudgetShare: 0.2, BudgetSpan: float64(pick(1, 5)),
+		CrossZonePrice: float64(r.IntN(2)),
+	}
+	for range 1 + r.IntN(3) {
+		c := Class{Aim: 0.05 + r.Float64(), AimStretch: r.Float64(), Repeat: Repeat(r.IntN(3)), RepeatWindow: 0.3, Need: 1,
+			Floor: 1, Worth: float64(r.IntN(3)), LateWorth: float64(r.IntN(2)) / 2}
+		c.Deadline = c.Aim * (1 + 2*r.Float64())
+		if maybe() {
+			c.Need, c.Floor = 0.9, 0.6
+		}
+		if r.IntN(3) == 0 {
+			c.SecondStep = 3
+		}
+		d.settings.Classes = append(d.settings.Classes, c)
+	}
+	zones := pick(1, 3, 10)
+	for i := range pick(3, 20, 120, 250) {
+		d.servers = append(d.servers, Server{ID: fmt.Sprint("s", i), Zone: r.IntN(zones), Cell: i % d.settings.Cells})
+		if r.IntN(4) == 0 {
+			d.servers[i].Started = d.now - 20*r.Float64()
+		}
+	}
+	return d
+}
+
+// step lets time pass and returns the events of the next batch.
+func (d *day) step() []Event {
+	switch d.random.IntN(300) {
+	case 0:
+		d.now += 20 * d.random.Float64()
+	case 1, 2, 3:
+		d.now += d.random.Float64()
+	default:
+		d.now += 0.006 * d.random.Float64()
+	}
+	var events []Event
+	if d.armed <= d.now {
+		d.armed = math.Inf(1)
+		events = append(events, Timer{Token: 1})
+	}
+	later := d.due[:0]
+	for _, e := range d.due {
+		if e.at <= d.now {
+			events = append(events, e.event)
+		} else {
+			later = append(later, e)
+		}
+	}
+	d.due = later
+	if d.random.IntN(3) == 0 {
+		events = append(events, d.query()...)
+	}
+	if d.random.IntN(40) == 0 {
+		d.strike()
+	}
+	if d.random.IntN(25) == 0 {
+		events = append(events, d.news())
+	}
+	d.random.Shuffle(len(events), func(i, j int) {
+		_, part := events[j].(Part) // parts stay behind their query
+		if _, other := events[i].(Part); !part && !other {
+			_, query := events[i].(Query)
+			if _, other := events[j].(Query); !query && !other {
+				events[i], events[j] = events[j], events[i]
+			}
+		}
+	})
+	return events
+}
+
+func (d *day) query() []Event {
+	d.queries++
+	id := RequestID(d.queries * 10_000)
+	class := d.random.IntN(len(d.settings.Classes))
+	parts := 1 + d.random.IntN([]int{3, 12, 60}[d.random.IntN(3)])
+	q := Query{ID: id, Number: d.queries, Class: class, Parts: parts, Work: d.random.Float64(),
+		Deadline: d.now + d.settings.Classes[class].Deadline*(0.5+d.random.Float64()/2)}
+	if d.random.IntN(30) == 0 {
+		q.Class = 9 // unknown
+	}
+	if d.random.IntN(3) == 0 {
+		q.Came = d.now - 0.002
+	}
+	d.requests = append(d.requests, id)
+	events := []Event{q}
+	return append(events, d.parts(d.queries, id, parts)...)
+}
+
+func (d *day) parts(number int64, id RequestID, n int) []Event {
+	var events []Event
+	for i := range n {
+		events = append(events, Part{ID: id + 1 + RequestID(i), Number: number, Shard: d.random.IntN(200),
+			Weight: 1 / float64(n)})
+	}
+	return events
+}
+
+// strike lets servers fail or recover: one, a zone, or all a little.
+func (d *day) strike() {
+	f := fault{status: Status(d.random.IntN(int(NotSent) + 1)), share: []float64{0, 0.002, 0.1, 0.5, 1}[d.random.IntN(5)],
+		slow: []float64{1, 1, 5}[d.random.IntN(3)]}
+	zone, kind := d.servers[d.random.IntN(len(d.servers))].Zone, d.random.IntN(4)
+	one := d.servers[d.random.IntN(len(d.servers))].ID
+	if kind == 3 {
+		f.share = min(f.share, 0.02)
+	}
+	for _, s := range d.servers {
+		if kind == 0 && s.ID == one || kind == 1 && s.Zone == zone || kind == 3 {
+			d.faults[s.ID] = f
+		} else if kind == 2 {
+			delete(d.faults, s.ID)
+		}
+	}
+}
+
+// news is an event that no part brings.
+func (d *day) news() Event {
+	r := d.random
+	s := &d.servers[r.IntN(len(d.servers))]
+	switch r.IntN(8) {
+	case 0, 1:
+		var list []Server
+		for range 1 + r.IntN(4) {
+			d.change()
+			list = append(list, d.servers[r.IntN(len(d.servers))])
+		}
+		list = append(list, list[0])
+		return List{Mode: ListDelta, Servers: list}
+	case 2:
+		d.change()
+		list := List{Mode: ListMode(r.IntN(4))}
+		if list.Mode == ListFull || list.Mode == ListCached {
+			for _, i := range r.Perm(len(d.servers)) {
+				if r.IntN(10) > 0 || len(d.servers) < 4 {
+					list.Servers = append(list.Servers, d.servers[i])
+				}
+			}
+		}
+		return list
+	case 3:
+		return Heard{Server: s.ID, At: d.now - r.Float64(), Failed: float64(r.IntN(2)), Weight: r.Float64(),
+			Pace: 0.05 * float64(r.IntN(2)), Load: d.load()}
+	case 4:
+		return Allowance{Server: s.ID, Parts: r.IntN(5), Until: d.now + r.Float64()}
+	case 5:
+		return Fleet{Brokers: 1 + r.IntN(600)}
+	case 6:
+		if len(d.requests) > 0 {
+			return ClientGone{ID: d.requests[r.IntN(len(d.requests))]}
+		}
+	}
+	return Remembered{Pace: 0.02, Peak: 10 * r.Float64()}
+}
+
+// change changes an entry of the server list: its state, start, place, or its machine.
+func (d *day) change() {
+	s := &d.servers[d.random.IntN(len(d.servers))]
+	switch d.random.IntN(8) {
+	case 0, 1:
+		s.State = Draining
+	case 2:
+		s.State = Gone
+	case 3:
+		s.Started, s.State = d.now-d.random.Float64(), Ready
+	case 4:
+		s.Cell, s.Zone = d.random.IntN(d.settings.Cells+2)-1, d.random.IntN(6)-1
+	case 5:
+		d.restarts++
+		s.ID, s.State, s.Started = fmt.Sprint("new", d.restarts), Ready, d.now
+	default:
+		s.State = Ready
+	}
+}
+
+func (d *day) load() Load {
+	if d.settings.ReportMode == ReportNone || d.random.IntN(4) == 0 {
+		return NoLoad
+	}
+	return Load{InFlight: 5 * d.random.Float64(), Queue: 9*d.random.Float64() - 1, Busy: d.random.Float64(), Latency: 0.01,
+		Rate: 10}
+}
+
+// take lets the world answer what the module did.
+func (d *day) take(actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Send:
+			d.answer(a)
+		case SetTimer:
+			d.armed = min(d.armed, a.At)
+		case Probe:
+			d.due = append(d.due, dueEvent{d.now + 0.02*d.random.Float64(),
+				Probed{Server: a.Server, Status: d.outcome(a.Server), Load: d.load()}})
+		case Answer:
+			if d.random.IntN(2) == 0 { // the parts of a second step
+				for _, e := range d.parts(int64(a.ID)/10_000, a.ID+500, 3) {
+					d.due = append(d.due, dueEvent{d.now, e})
+				}
+			}
+		}
+	}
+}
+
+func (d *day) outcome(server string) Status {
+	if f := d.faults[server]; d.random.Float64() < f.share {
+		return f.status
+	}
+	return OK
+}
+
+func (d *day) answer(s Send) {
+	n := d.attempts[s.ID]
+	d.attempts[s.ID]++
+	latency := 0.002 + 0.03*d.random.ExpFloat64()*max(d.faults[s.Server].slow, 1)
+	status := d.outcome(s.Server)
+	if s.Timeout > 0 && latency > s.Timeout {
+		latency, status = s.Timeout, TimedOut
+	}
+	d.due = append(d.due, dueEvent{d.now + latency, Ended{ID: s.ID, Attempt: n, Server: s.Server, Status: status,
+		Latency: latency, Closed: status == OK || d.random.IntN(20) == 0, Load: d.load()}})
+}
+
+// The module must decide, to the bit of every time it names, what it decided when each batch walked all servers.
+func TestDecisionsEqualThoseOfThePlainForm(t *testing.T) {
+	kinds := map[string]int{}
+	for seed := range uint64(*differentialDays) {
+		d := newDay(seed)
+		policy, plain := New(d.settings, seed), newReference(d.settings, seed)
+		first := []Event{List{Mode: ListFull, Servers: d.servers}}
+		for batch := range differentialBatches {
+			events := first
+			if batch > 0 {
+				events = d.step()
+			}
+			got, want := policy.Handle(d.now, events), plain.Handle(d.now, events)
+			if !reflect.DeepEqual(got, want) {
+				t.Fatalf("day %d, batch %d at %v:\n got %v\nwant %v\nof %v", seed, batch, d.now, got, want, events)
+			}
+			if math.Float64bits(policy.fleetBad) != math.Float64bits(plain.fleetBad) || policy.warm != plain.warm ||
+				policy.drawn != plain.drawn || policy.chances != plain.chances || policy.pace != plain.pace {
+				t.Fatalf("day %d, batch %d at %v: the fleet's figures differ: median %v, want %v; warm %v, want %v",
+					seed, batch, d.now, policy.fleetBad, plain.fleetBad, policy.warm, plain.warm)
+			}
+			for _, a := range got {
+				kinds[fmt.Sprintf("%T", a)]++
+			}
+			if plain.fleetBad > 0 {
+				kinds["median above 0"]++
+			}
+			d.take(got)
+		}
+	}
+	for _, kind := range []string{"Send", "Answer", "Refuse", "Fail", "Cancel", "SetTimer", "Probe", "Watch"} {
+		if kinds["decision."+kind] < 3 {
+			t.Errorf("the days hold %d actions %s, too few to tell anything: %v", kinds["decision."+kind], kind, kinds)
+		}
+	}
+	if kinds["median above 0"] < 1000 {
+		t.Errorf("the fleet's median is above 0 in %d batches only", kinds["median above 0"])
+	}
+	t.Log(kinds)
+}
