--- a/internal/decision/policy.go
+++ b/internal/decision/policy.go
@@ -10,6 +10,9 @@
 	"math/rand/v2"
 	"slices"
 
+	"mothrouter/internal/cells"
+	"mothrouter/internal/failures"
+	"mothrouter/internal/lazyheap"
 	"mothrouter/internal/recent"
 )
 
@@ -30,18 +33,17 @@
 // server is what this broker knows of one server.
 type server struct {
 	Server
-	load            Load
-	heardAt         float64 // when load came; 0: never
-	answeredAt      float64 // its latest success
-	passed          float64 // when the latest part was sent that it answered
-	busySince       float64 // when the first part was sent after its latest success
-	ghosts          []ghost
-	badShare, badAt float64 // share of failed attempts and when it was so
-	fitness         float64 // 0: unreported at the last rebuild
-	cut             float64 // 1: its latest outcome was a refused or broken connection
-	newsAt          float64 // its latest outcome, or when it was probed to learn whether it is well
-	own             int     // this broker's attempts out there
-	pace, paceAt    float64 // latency over crowd of its latest parts, and when it was so
+	load         Load
+	heardAt      float64 // when load came; 0: never
+	answeredAt   float64 // its latest success
+	passed       float64 // when the latest part was sent that it answered
+	busySince    float64 // when the first part was sent after its latest success
+	ghosts       []ghost
+	failed       failures.Record
+	fitness      float64 // 0: unreported at the last rebuild
+	newsAt       float64 // its latest outcome, or when it was probed to learn whether it is well
+	own          int     // this broker's attempts out there
+	pace, paceAt float64 // latency over crowd of its latest parts, and when it was so
 
 	sends           []float64  // times of sends within FallTime, for the cold cap
 	coldSince       float64    // start of the warm-up; -Inf: warm
@@ -50,9 +52,10 @@
 
 	turn int     // the draw's turn that key belongs to
 	key  float64 // exponential variate / weight in that turn
-}
 
-type mark struct{ share, at float64 }
+	number                 int  // of its place in the list's order
+	cold, going, forgotten bool // in Policy.cold, in Policy.going, in neither and no list
+}
 
 type attempt struct {
 	srv          *server
@@ -95,8 +98,10 @@
 	out     []Action
 	servers []*server
 	byID    map[string]*server // looked up, never iterated
-	byCell  [][]*server
-	zones   []mark               // failed attempts by zone
+	cells   cells.Index[*server]
+	going   []*server            // gone, with attempts out there
+	cold    []*server            // within their warm-up
+	failed  failures.Shares      // of attempts, by server
 	cut     float64              // averaged share of attempts cut off: refused connections and resets
 	parts   map[RequestID]*part  // looked up, never iterated
 	queries map[int64]*query     // looked up, never iterated
@@ -109,21 +114,23 @@
 	breakers           map[uint64]float64 // by print, queries that broke their servers: until when
 	wake, armed        float64            // earliest wish of this batch, earliest timer out
 
-	latency                []recent.Ring // latest latencies by class
-	waryUntil              []float64     // by class: until then one part of a query goes ahead of the others
-	waits                  []float64     // by class: the longest that a client waits for one try
-	leftAges               recent.Ring   // ages of the latest queries whose clients left
-	leaving                float64       // averaged share of queries whose clients leave
-	taken, extra           []float64     // times of parts taken and of further attempts, for the budget
-	rate, sure, rateAt     float64       // decayed counts of parts answered, and those by warm servers; when
-	meanFitness            float64       // what an unreported server counts as
-	fleetBad               float64       // the fleet's median share of failed attempts
-	warm                   float64       // warm servers, at least a third of all
-	memory                 float64       // seconds in which a server's own pace is half forgotten
-	worthAsked, partsAsked float64       // of all queries so far, and the parts that they needed
-	pace                   float64       // averaged latency of a part over the crowd it met
-	drawn, chances         float64       // windows of cold servers: those with a part for one, and all
-	peak                   float64       // slowly decaying peak of parts answered a second by a warm server
+	latency                []recent.Ring           // latest latencies by class
+	waryUntil              []float64               // by class: until then one part goes ahead
+	waits                  []float64               // by class: the longest that a client waits for one try
+	leftAges               recent.Ring             // ages of the latest queries whose clients left
+	leaving                float64                 // averaged share of queries whose clients leave
+	taken, extra           recent.Window           // parts taken and further attempts, for the budget
+	rate, sure, rateAt     float64                 // decayed counts of answers, and by warm servers; when
+	meanFitness            float64                 // what an unreported server counts as
+	fleetBad               float64                 // median share of failed attempts, 0 if negligible
+	news                   *lazyheap.Heap[*server] // those that may be probed; the first has the oldest news
+	numbered               int                     // servers numbered so far
+	warm                   float64                 // warm servers, at least a third of all
+	memory                 float64                 // seconds in which a server's own pace is half forgotten
+	worthAsked, partsAsked float64                 // of all queries so far, and the parts that they needed
+	pace                   float64                 // averaged latency of a part over the crowd it met
+	drawn, chances         float64                 // windows of cold servers: with a part for one, all
+	peak                   float64                 // slowly decaying peak of answers a second of a warm one
 }
 
 // New returns the decisions of one broker. Equal settings, seeds and events give equal actions.
@@ -131,6 +138,9 @@
 	n, p := len(s.Classes), &Policy{set: s, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		armed: math.Inf(1), meanFitness: 1, byID: map[string]*server{}, breakers: map[uint64]float64{},
 		parts: map[RequestID]*part{}, queries: map[int64]*query{}, byQuery: map[RequestID]*query{}}
+	p.cells = cells.New(s.Cells, s.Reach, number)
+	p.failed = failures.New(forgiveIn, zoneStep, negligible)
+	p.news = lazyheap.New(func(s *server) float64 { return s.newsAt }, number)
 	p.latency, p.waryUntil, p.waits = make([]recent.Ring, n), make([]float64, n), make([]float64, n)
 	if !s.AskForList {
 		p.watchAt = math.Inf(1)
@@ -143,7 +153,7 @@
 
 // Handle takes the events of one moment in their order and returns what to do, in order.
 func (p *Policy) Handle(now float64, events []Event) []Action {
-	p.now, p.out, p.wake = now, nil, math.Inf(1)
+	p.now, p.failed.Now, p.out, p.wake = now, now, nil, math.Inf(1)
 	p.survey()
 	for _, e := range events {
 		switch e := e.(type) {
@@ -193,6 +203,7 @@
 
 func (p *Policy) do(a Action)      { p.out = append(p.out, a) }
 func (p *Policy) wakeAt(t float64) { p.wake = math.Min(p.wake, t) }
+func number(s *server) int         { return s.number }
 func (s *server) ready() bool      { return s.State == Ready }
 func (p *Policy) lead() float64    { return answerLead * math.Max(p.set.Tick, 0.005) }
 
@@ -214,42 +225,70 @@
 		for _, s := range p.servers {
 			s.State = Gone
 		}
+		p.cells.Clear()
 	}
 	for _, e := range l.Servers {
 		e.Zone = max(e.Zone, 0) // an odd zone is no index
-		p.zones = append(p.zones, make([]mark, max(e.Zone+1-len(p.zones), 0))...)
 		s := p.byID[e.ID]
 		if s == nil {
-			s = &server{load: NoLoad, coldSince: math.Inf(-1)}
+			p.numbered++
+			s = &server{load: NoLoad, coldSince: math.Inf(-1), number: p.numbered}
 			p.byID[e.ID] = s
 			p.servers = append(p.servers, s)
 		}
+		p.cells.Remove(s.Cell, s)
 		if e.Started > 0 && e.Started != s.Started {
 			// A new process: what was known of the old one is void.
-			s.coldSince, s.load, s.heardAt, s.fitness, s.badShare, s.ghosts = e.Started, NoLoad, 0, 0, 0, nil
+			s.coldSince, s.load, s.heardAt, s.fitness, s.ghosts = e.Started, NoLoad, 0, 0, nil
+			s.failed.Share = 0
+			if !s.cold {
+				s.cold, p.cold = true, append(p.cold, s)
+			}
 		}
-		s.Server = e
+		s.Server, s.failed.Zone = e, e.Zone
+		p.place(s)
 	}
-	p.byCell = make([][]*server, max(p.set.Cells, 1))
-	// Servers that are gone are forgotten once nothing is out there: they would count as a fleet down.
-	p.servers = slices.DeleteFunc(p.servers, func(s *server) bool {
-		if s.State != Gone && s.Cell >= 0 && s.Cell < len(p.byCell) {
-			p.byCell[s.Cell] = append(p.byCell[s.Cell], s)
-		}
-		if s.State == Gone && s.own == 0 {
-			delete(p.byID, s.ID)
+	if l.Mode != ListDelta {
+		for _, s := range p.servers {
+			if s.State == Gone {
+				p.place(s)
+			}
 		}
-		return s.State == Gone && s.own == 0
-	})
+	}
+	p.forgetGone()
+}
+
+// place files a server where its entry of the list puts it.
+func (p *Policy) place(s *server) {
+	if s.State != Gone {
+		p.cells.Insert(s.Cell, s)
+	}
+	if s.State == Gone && !s.going {
+		s.going, p.going = true, append(p.going, s)
+	}
+	if s.ready() {
+		p.failed.Include(&s.failed)
+	} else {
+		p.failed.Exclude(&s.failed)
+	}
+	p.await(s)
 }
 
-// holders lists the servers that hold a shard, in the order of the list.
-func (p *Policy) holders(shard int, visit func(*server)) {
-	n := len(p.byCell)
-	for j := 0; n > 0 && j < min(max(p.set.Reach, 1), n); j++ {
-		for _, s := range p.byCell[(shard+j)%n] {
-			visit(s)
+// forgetGone forgets servers that are gone once nothing is out there: they would count as a fleet down.
+func (p *Policy) forgetGone() {
+	some := false
+	p.going = slices.DeleteFunc(p.going, func(s *server) bool {
+		s.forgotten = s.State == Gone && s.own == 0
+		s.going, some = s.State == Gone && !s.forgotten, some || s.forgotten
+		if s.forgotten {
+			delete(p.byID, s.ID)
 		}
+		return !s.going
+	})
+	if some {
+		forgotten := func(s *server) bool { return s.forgotten }
+		p.servers, p.cold = slices.DeleteFunc(p.servers, forgotten), slices.DeleteFunc(p.cold, forgotten)
+		p.news.Remove(forgotten)
 	}
 }
 
@@ -257,7 +296,7 @@
 
 func (p *Policy) onProbed(e Probed) {
 	if s := p.byID[e.Server]; s != nil {
-		if e.Status != OK || s.cut > 0 { // an answered probe says nothing of errors and full queues
+		if e.Status != OK || s.failed.Slow { // an answered probe says nothing of errors and full queues
 			p.mark(s, e.Status)
 		}
 		p.hear(s, e.Load, p.now)
@@ -270,8 +309,8 @@
 	if s == nil || e.At < s.Started {
 		return
 	}
-	if e.Weight > 0 && e.At > s.badAt {
-		s.badShare, s.badAt = p.bad(s)+e.Weight*(e.Failed-p.bad(s)), e.At
+	if e.Weight > 0 && e.At > s.failed.At {
+		p.failed.Hear(&s.failed, e.Failed, e.Weight, e.At)
 	}
 	if e.Pace > 0 && e.At > s.paceAt {
 		s.pace, s.paceAt = e.Pace, e.At
@@ -284,18 +323,20 @@
 	if !p.set.MayProbe || p.cut < inquireAbove {
 		return
 	}
-	var oldest *server
-	for _, s := range p.servers {
-		if s.ready() && s.own == 0 && (oldest == nil || s.newsAt < oldest.newsAt) {
-			oldest = s
-		}
-	}
-	if oldest != nil {
+	idle := func(s *server) bool { return s.ready() && s.own == 0 } // others come back when they are
+	if oldest, found := p.news.Least(idle); found {
 		oldest.newsAt = p.now
 		p.do(Probe{oldest.ID})
 	}
 }
 
+// await queues a server that may be probed.
+func (p *Policy) await(s *server) {
+	if p.set.MayProbe && s.ready() && s.own == 0 {
+		p.news.Push(s)
+	}
+}
+
 // mark counts an outcome for or against a server, its zone and the links of this broker.
 func (p *Policy) mark(s *server, status Status) {
 	failed, cut := 1.0, 0.0
@@ -307,11 +348,9 @@
 	case Reset, Unreachable:
 		cut = 1
 	}
-	z := &p.zones[s.Zone]
-	s.badShare = p.bad(s) + math.Max(badStep, p.newsStep(s.badAt))*(failed-p.bad(s))
-	z.share = zoneStep*failed + (1-zoneStep)*z.share*math.Exp2(-(p.now-z.at)/forgiveIn)
+	p.failed.Count(&s.failed, failed, math.Max(badStep, p.newsStep(s.failed.At)), cut > 0)
 	p.cut += zoneStep * (cut - p.cut)
-	s.cut, s.badAt, s.newsAt, z.at = cut, p.now, p.now, p.now
+	s.newsAt = p.now
 }
 
 func (p *Policy) hear(s *server, l Load, at float64) {
@@ -414,66 +453,55 @@
 // queue. The draw compares plain shares: a median is itself bad where half of the servers fail. Elsewhere
 // what exceeds the usual counts. It could harm if one class alone fails.
 func (p *Policy) trust(s *server, usual float64) float64 {
-	excess := p.bad(s) - usual
+	excess := p.failed.Of(&s.failed) - usual
 	return math.Max(math.Pow(1-math.Max(excess, 0), distrust), trustFloor)
 }
 
-// bad is the decayed share of failed attempts at a server. It fades towards its zone's: servers that fail
-// together mostly stand together. Cut-off links fade as slowly as paces.
-func (p *Policy) bad(s *server) float64 {
-	zone := 0.0
-	if z := p.zones[s.Zone]; len(p.zones) > 1 { // but one tells nothing of this server
-		zone = z.share * math.Exp2(-(p.now-z.at)/forgiveIn)
-	}
-	if s.badShare == zone {
-		return zone // mostly so; with hundreds of servers the power costs much
-	}
-	return zone + (s.badShare-zone)*math.Exp2(-(p.now-s.badAt)/math.Max(forgiveIn, s.cut*p.memory))
-}
-
 // survey takes what all servers are compared with, once a batch.
 func (p *Policy) survey() {
-	var bad []float64
-	warm := 0
-	for _, s := range p.servers {
-		if s.ready() {
-			bad = append(bad, p.bad(s))
-			warm += int(p.warmth(s)) // which is 1 from then on
-		}
-	}
-	if len(bad) > 0 {
-		slices.Sort(bad)
-		p.fleetBad = bad[(len(bad)-1)/2]
+	ready := p.failed.Len()
+	if ready > 0 {
+		p.fleetBad = p.failed.Median()
 	}
+	warm := ready
+	p.cold = slices.DeleteFunc(p.cold, func(s *server) bool {
+		s.cold = p.set.WarmUp > 0 && p.now-s.coldSince < p.set.WarmUp
+		if s.cold && s.ready() {
+			warm += int(p.warmth(s)) - 1 // which is 1 from then on
+		}
+		return !s.cold
+	})
 	dt := p.now - p.rateAt
 	p.rateAt, p.warm = p.now, float64(max(warm, len(p.servers)/3, 1))
-	fade, cold := math.Exp(-dt/rateSpan), float64(len(bad)-warm)
+	fade, cold := math.Exp(-dt/rateSpan), float64(ready-warm)
 	p.rate, p.sure, p.drawn = p.rate*fade, p.sure*fade, p.drawn*fade
 	p.chances = p.chances*fade + cold*dt/math.Max(p.set.FallTime, 1)
 	sure := math.Max(p.sure-math.Sqrt(p.sure), 0) // less its deviation: the highest of few are chance
 	p.peak = math.Max(p.peak*math.Exp(-dt/peakSpan), sure/rateSpan/p.warm)
 	p.pace *= math.Exp2(-dt / paceFades)
 	p.memory = math.Min(memoryLeast+p.warm*rateSpan/math.Max(p.rate, 0.1), memoryMost)
+	p.failed.SlowHalfLife = p.memory // cut-off links fade as slowly as paces
 }
 
 const (
-	memoryLeast  = 1.0  // seconds in which a pace is half forgotten, beside a gap between two answers
-	memoryMost   = 15.0 // a trouble may be over by then
-	zoneStep     = 0.05 // weight of one outcome in a zone's failed share and in the share cut off
-	inquireAbove = 0.2  // share of attempts cut off from which probes pay
-	badStep      = 0.25 // weight of one outcome in a server's failed share
-	forgiveIn    = 5.0  // seconds in which a bad mark halves; about a trouble's shortest span
-	distrust     = 4.0  // a server that fails a third of its parts gets a fifth of its share
-	trustFloor   = 1e-4 // below a sound server's weight however crowded; forgiving brings the trickle
-	silentAfter  = 2.0  // paces without a word before a server is doubted
-	silentLeast  = 0.01 // seconds: shorter ones are chance
-	crowding     = 3.0  // steeper than proportional: the table does not see a queue build
-	distance     = 2.5  // how steeply slower servers are avoided
-	speedLeast   = 0.3  // quick ones do not draw more than their weight in one lucky part
-	newsMost     = 0.9  // the last outcome never tells all
-	newsSpan     = 2.0  // seconds of outcomes that outweigh older ones
-	coldMargin   = 0.8  // share of the fall limit that is used; the rest is for chance and uneven work
-	farShare     = 0.1  // one more part in flight near by about outweighs it
+	memoryLeast  = 1.0   // seconds in which a pace is half forgotten, beside a gap between two answers
+	memoryMost   = 15.0  // a trouble may be over by then
+	zoneStep     = 0.05  // weight of one outcome in a zone's failed share and in the share cut off
+	inquireAbove = 0.2   // share of attempts cut off from which probes pay
+	badStep      = 0.25  // weight of one outcome in a server's failed share
+	negligible   = 1e-33 // below 2^-108: 1 less a share and such a median rounds as 1 less the share does
+	forgiveIn    = 5.0   // seconds in which a bad mark halves; about a trouble's shortest span
+	distrust     = 4.0   // a server that fails a third of its parts gets a fifth of its share
+	trustFloor   = 1e-4  // below a sound server's weight however crowded; forgiving brings the trickle
+	silentAfter  = 2.0   // paces without a word before a server is doubted
+	silentLeast  = 0.01  // seconds: shorter ones are chance
+	crowding     = 3.0   // steeper than proportional: the table does not see a queue build
+	distance     = 2.5   // how steeply slower servers are avoided
+	speedLeast   = 0.3   // quick ones do not draw more than their weight in one lucky part
+	newsMost     = 0.9   // the last outcome never tells all
+	newsSpan     = 2.0   // seconds of outcomes that outweigh older ones
+	coldMargin   = 0.8   // share of the fall limit that is used; the rest is for chance and uneven work
+	farShare     = 0.1   // one more part in flight near by about outweighs it
 )
 
 // pulse falls while a server that owes answers is silent for longer than usual: it may hang.
@@ -519,7 +547,7 @@
 func (p *Policy) draw(pt *part) *server {
 	var best *server
 	for _, again := range []bool{false, true} {
-		p.holders(pt.Shard, func(s *server) {
+		p.cells.Holders(pt.Shard, func(s *server) {
 			tried, just := pt.tried(s, p.now)
 			if !s.ready() || just || tried && !again || !p.admitsCold(s) {
 				return
@@ -550,7 +578,7 @@
 // ---- queries ----
 
 func (p *Policy) onQuery(e Query) {
-	p.taken = append(p.forget(p.taken, edgeSlack), p.now)
+	p.take()
 	if e.Class < 0 || e.Class >= len(p.set.Classes) {
 		p.do(Refuse{ID: e.ID})
 		return
@@ -576,7 +604,7 @@
 }
 
 func (p *Policy) onPart(e Part) {
-	p.taken = append(p.forget(p.taken, edgeSlack), p.now)
+	p.take()
 	if q := p.queries[e.Number]; q != nil && !q.ended {
 		pt := &part{Part: e, q: q}
 		q.parts = append(q.parts, pt)
@@ -597,6 +625,7 @@
 	p.hear(a.srv, e.Load, p.now)
 	p.judge(a, pt, e)
 	a.srv.own--
+	p.await(a.srv)
 	switch {
 	case pt.over && pt.live == 0:
 		delete(p.parts, e.ID)
@@ -747,7 +776,7 @@
 // depths, since the draw avoids slow and deep ones. The share that is silent or cold makes it longer.
 func (p *Policy) wait(shard int) float64 {
 	all, able, idle, share := 0.0, 0.0, 0.0, 0.0
-	p.holders(shard, func(s *server) {
+	p.cells.Holders(shard, func(s *server) {
 		if s.ready() && p.admitsCold(s) {
 			w, pace := p.sound(s)*p.warmth(s), math.Max(p.paceOf(s), 1e-6)
 			all, able = all+1, able+w
@@ -840,15 +869,18 @@
 	return true
 }
 
-func (p *Policy) forget(times []float64, slack float64) []float64 { // those before the budget's window
-	return slices.DeleteFunc(times, func(t float64) bool { return t < p.now-p.set.BudgetSpan+slack })
+// take counts a query or part for the budget.
+func (p *Policy) take() {
+	p.taken.Forget(p.now - p.set.BudgetSpan + edgeSlack)
+	p.taken.Add(p.now)
 }
 
 // budgetLeft tells whether a further attempt fits the budget, counted over the window that ends now.
 func (p *Policy) budgetLeft() bool {
-	p.taken, p.extra = p.forget(p.taken, edgeSlack), p.forget(p.extra, -edgeSlack)
-	allowed := float64(p.set.BudgetFree) + p.set.BudgetShare*float64(len(p.taken))
-	return !p.set.Budget || float64(len(p.extra)+1) <= allowed+edgeSlack
+	p.taken.Forget(p.now - p.set.BudgetSpan + edgeSlack)
+	p.extra.Forget(p.now - p.set.BudgetSpan - edgeSlack)
+	allowed := float64(p.set.BudgetFree) + p.set.BudgetShare*float64(p.taken.Count())
+	return !p.set.Budget || float64(p.extra.Count()+1) <= allowed+edgeSlack
 }
 
 func (p *Policy) sendParts(q *query, in float64) {
@@ -960,7 +992,7 @@
 		return false
 	}
 	better := passed // in a group that is silent as a whole, more sends would only feed the jam
-	p.holders(pt.Shard, func(s *server) {
+	p.cells.Holders(pt.Shard, func(s *server) {
 		better = better || s != a.srv && s.ready() && p.sound(s) > sounderTimes*p.sound(a.srv)
 	})
 	return better && p.now+p.latency[pt.q.Class].Quantile(0.5) < pt.q.aim
@@ -968,7 +1000,7 @@
 
 func (p *Policy) send(pt *part, s *server) {
 	if p.set.Budget && len(pt.attempts) > 0 {
-		p.extra = append(p.extra, p.now)
+		p.extra.Add(p.now)
 	}
 	a := attempt{srv: s, sentAt: p.now, live: true, mayRun: true, crowd: float64(1 + s.depth(p.now))}
 	pt.attempts = append(pt.attempts, a)
--- /dev/null
+++ b/internal/failures/failures_test.go
@@ -0,0 +1,111 @@
+package failures_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"mothrouter/internal/failures"
+	"mothrouter/internal/median"
+)
+
+const negligible = 1e-33
+
+// fleet is what a broker sees of servers in zones that fail now and then.
+type fleet struct {
+	random  *rand.Rand
+	shares  failures.Shares
+	records []*failures.Record
+	in      map[*failures.Record]bool
+}
+
+func newFleet(seed uint64, servers, zones int) *fleet {
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 3)), shares: failures.New(5, 0.05, negligible),
+		in: map[*failures.Record]bool{}}
+	for i := range servers {
+		r := &failures.Record{Zone: i % zones}
+		f.records = append(f.records, r)
+		f.include(r)
+	}
+	return f
+}
+
+func (f *fleet) include(r *failures.Record) {
+	f.shares.Include(r)
+	f.in[r] = true
+}
+
+// step passes some time and one event, an outcome most of the times.
+func (f *fleet) step(failShare float64) {
+	f.shares.Now += 0.005 * f.random.ExpFloat64()
+	if f.random.IntN(500) == 0 {
+		f.shares.Now += 3 * f.random.Float64()
+	}
+	f.shares.SlowHalfLife = 1 + 14*f.random.Float64()
+	r := f.records[f.random.IntN(len(f.records))]
+	switch f.random.IntN(60) {
+	case 0:
+		f.shares.Exclude(r)
+		delete(f.in, r)
+	case 1:
+		r.Share = 0
+		f.include(r)
+	case 2:
+		f.shares.Hear(r, float64(f.random.IntN(2)), f.random.Float64(), f.shares.Now+0.1*(f.random.Float64()-0.5))
+	default:
+		failed := 0.0
+		if f.random.Float64() < failShare {
+			failed = 1
+		}
+		f.shares.Count(r, failed, 0.25+0.6*f.random.Float64(), failed == 1 && f.random.IntN(2) == 0)
+	}
+}
+
+// plain is the median of all shares, each computed.
+func (f *fleet) plain() float64 {
+	var values []float64
+	for r := range f.in {
+		values = append(values, f.shares.Of(r))
+	}
+	return median.Lower(values)
+}
+
+// Whatever befalls the servers, the median is to the bit that of all shares, but for negligible ones.
+func TestTheMedianIsExact(t *testing.T) {
+	above := 0
+	for seed := range uint64(30) {
+		zones := 1 + int(seed%5)
+		f := newFleet(seed, 20+10*int(seed), zones)
+		for range 2000 {
+			f.step([]float64{0, 0.001, 0.02, 0.3, 0.9}[seed/2%5])
+			if len(f.in) == 0 {
+				continue
+			}
+			want, got := f.plain(), f.shares.Median()
+			if math.Abs(want) < negligible {
+				require.Less(t, math.Abs(got), negligible)
+				continue
+			}
+			require.Equal(t, want, got, "seed %d, at %v", seed, f.shares.Now)
+			above++
+		}
+	}
+	require.Greater(t, above, 10_000, "medians that are not negligible")
+}
+
+// Servers of one zone are compared with nothing: it would tell nothing of them.
+func TestASingleZoneDoesNotCount(t *testing.T) {
+	for zones := 1; zones <= 2; zones++ {
+		f := newFleet(1, 10, zones)
+		f.shares.Now = 10
+		for range 50 {
+			f.shares.Count(f.records[0], 1, 0.25, false)
+		}
+		f.shares.Now = 60
+		f.shares.Count(f.records[0], 1, 0.25, false)
+		other := f.shares.Of(f.records[2])
+		require.Equal(t, zones > 1, other > 0.01, "%d zones: its neighbour's share is %v", zones, other)
+	}
+}
--- /dev/null
+++ b/internal/lazyheap/lazyheap_test.go
@@ -0,0 +1,50 @@
+package lazyheap_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"mothrouter/internal/lazyheap"
+)
+
+type item struct {
+	key     float64
+	number  int
+	fits    bool
+	removed bool
+}
+
+// Keys grow, items cease to fit, come back and go: the least is always that of a walk over all.
+func TestLeastIsThatOfAWalk(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := lazyheap.New(func(i *item) float64 { return i.key }, func(i *item) int { return i.number })
+		var all []*item
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			switch kind := rapid.IntRange(0, 9).Draw(t, "kind"); {
+			case kind < 3 || len(all) == 0:
+				all = append(all, &item{number: len(all), fits: true})
+				h.Push(all[len(all)-1])
+			case kind < 8:
+				i := all[rapid.IntRange(0, len(all)-1).Draw(t, "item")]
+				i.key += float64(rapid.IntRange(0, 3).Draw(t, "growth"))
+				if i.fits = rapid.Bool().Draw(t, "fits"); i.fits && !i.removed {
+					h.Push(i)
+				}
+			default:
+				all[rapid.IntRange(0, len(all)-1).Draw(t, "item")].removed = true
+				h.Remove(func(i *item) bool { return i.removed })
+			}
+			var want *item
+			for _, i := range all {
+				if i.fits && !i.removed && (want == nil || i.key < want.key) {
+					want = i
+				}
+			}
+			got, found := h.Least(func(i *item) bool { return i.fits })
+			require.Equal(t, want != nil, found)
+			require.Same(t, want, got)
+		}
+	})
+}
--- /dev/null
+++ b/internal/median/median.go
@@ -0,0 +1,150 @@
+// Package median keeps the lower median of many figures that drift within stated bounds, without computing all of
+// them each time. Of most figures the bounds tell on which side of the median they are; only those near it are
+// computed.
+package median
+
+import "slices"
+
+const (
+	bandWidth  = 2.0 // the band reaches from the median over this to the median times this
+	scansWorth = 2   // after this many times all figures were computed one by one, a new band pays
+)
+
+type side uint8
+
+const (
+	below side = iota + 1
+	above
+	near
+)
+
+// Entry is the place of one figure in a Tracker. The zero Entry is in none.
+type Entry[T any] struct {
+	Item  T
+	side  side
+	epoch int // the band that side refers to
+	index int // in Tracker.near
+}
+
+// Tracker keeps the lower median of figures that are rarely negative. It is not safe for concurrent use.
+type Tracker[T any] struct {
+	// Negligible is the figure up to which the caller does not care what the median is: 0 is told instead.
+	Negligible float64
+
+	low, high    float64 // the band around the median
+	epoch        int
+	below, above int
+	near         []*Entry[T]
+	values       []float64
+	computed     int // figures computed since the last Reset
+}
+
+// Len is the number of figures.
+func (t *Tracker[T]) Len() int { return t.below + t.above + len(t.near) }
+
+// Remove takes an entry out. It may be in or not.
+func (t *Tracker[T]) Remove(e *Entry[T]) {
+	if e.epoch != t.epoch {
+		return
+	}
+	switch e.side {
+	case below:
+		t.below--
+	case above:
+		t.above--
+	case near:
+		last := len(t.near) - 1
+		t.near[e.index] = t.near[last]
+		t.near[e.index].index = e.index
+		t.near[last] = nil
+		t.near = t.near[:last]
+	}
+	e.side = 0
+}
+
+// Place puts an entry in, or moves it: its figure is from least to most until it is placed again.
+func (t *Tracker[T]) Place(e *Entry[T], least, most float64) {
+	t.Remove(e)
+	e.epoch = t.epoch
+	switch {
+	case most <= t.low:
+		e.side = below
+		t.below++
+	case least >= t.high:
+		e.side = above
+		t.above++
+	default:
+		e.side, e.index = near, len(t.near)
+		t.near = append(t.near, e)
+	}
+}
+
+// Reset takes all entries out and lays the band around a median that the caller has computed. The caller then places
+// the entries again.
+func (t *Tracker[T]) Reset(median float64) {
+	t.low, t.high = max(median/bandWidth, t.Negligible), max(median*bandWidth, t.Negligible)
+	t.epoch++
+	t.below, t.above, t.computed = 0, 0, 0
+	clear(t.near)
+	t.near = t.near[:0]
+}
+
+// Median is the lower median of the figures: the one at (n-1)/2 in their order from 0. It is false where the bounds
+// do not tell, or there is no figure: the caller computes it by Lower, and calls Reset.
+func (t *Tracker[T]) Median(figure func(T) float64) (float64, bool) {
+	rank := (t.Len() - 1) / 2
+	if rank < t.below {
+		// Only figures near the band can be negative. There are too few of them to be the median.
+		return 0, t.low == t.Negligible && len(t.near) <= rank
+	}
+	if t.Len() == 0 || rank >= t.below+len(t.near) || t.computed > scansWorth*t.Len() {
+		return 0, false
+	}
+	t.computed += len(t.near)
+	t.values = t.values[:0]
+	for _, e := range t.near {
+		t.values = append(t.values, figure(e.Item))
+	}
+	v := choose(t.values, rank-t.below)
+	if v >= 0 && v < t.Negligible && t.low == t.Negligible {
+		return 0, true // what is below the band is as negligible
+	}
+	return v, t.low <= v && v <= t.high
+}
+
+// Lower is the lower median of at least one value. It changes their order.
+func Lower(values []float64) float64 { return choose(values, (len(values)-1)/2) }
+
+const sortBelow = 16 // so few values are sorted at once
+
+// choose is the value at a rank, counted from 0, in the order of the values: Hoare's selection.
+func choose(values []float64, rank int) float64 {
+	for len(values) > sortBelow {
+		pivot := middle(values[0], values[len(values)/2], values[len(values)-1])
+		i, j := 0, len(values)-1
+		for i <= j {
+			for values[i] < pivot {
+				i++
+			}
+			for values[j] > pivot {
+				j--
+			}
+			if i <= j {
+				values[i], values[j] = values[j], values[i]
+				i, j = i+1, j-1
+			}
+		}
+		switch { // values[:j+1] <= pivot <= values[i:]; what lies between equals it
+		case rank <= j:
+			values = values[:j+1]
+		case rank >= i:
+			values, rank = values[i:], rank-i
+		default:
+			return pivot
+		}
+	}
+	slices.Sort(values)
+	return values[rank]
+}
+
+func middle(a, b, c float64) float64 { return max(min(a, b), min(max(a, b), c)) }
--- /dev/null
+++ b/internal/recent/window_test.go
@@ -0,0 +1,29 @@
+package recent_test
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"mothrouter/internal/recent"
+)
+
+func TestAWindowCountsWhatIsNotForgotten(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var w recent.Window
+		var all []int
+		now := 0
+		for _, step := range rapid.SliceOfN(rapid.IntRange(0, 3), 1, 200).Draw(t, "steps") {
+			now += step
+			w.Add(float64(now))
+			all = append(all, now)
+			if step == 2 {
+				w.Forget(float64(now - 5))
+				all = slices.DeleteFunc(all, func(at int) bool { return at < now-5 })
+			}
+			require.Equal(t, len(all), w.Count())
+		}
+	})
+}
