Split the decision module into files by concern; no other change

Each declaration stands as it was: the lines of the files are those of policy.go, but for headers and the rulers between its sections.

--- a/internal/decision/api.go
+++ b/internal/decision/api.go
@@ -4,7 +4,7 @@
 // when to answer. It does no I/O and keeps no clock: the caller hands in the time and a batch of
 // events and carries out the actions that come back.
 //
-// This file is the interface. All decisions are in policy.go.
+// This file is the interface. All decisions are in policy.go and the files beside it.
 package decision
 
 // Times and durations are seconds; times are on a clock of the caller's that never runs backwards.
--- /dev/null
+++ b/internal/decision/draw.go
@@ -0,0 +1,111 @@
+package decision
+
+// The draw of one replica for a part, and the room of cold servers.
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+const (
+	crowding   = 3.0 // steeper than proportional: the table does not see a queue build
+	distance   = 2.5 // how steeply slower servers are avoided
+	speedLeast = 0.3 // quick ones do not draw more than their weight in one lucky part
+	coldMargin = 0.8 // share of the fall limit that is used; the rest is for chance and uneven work
+	farShare   = 0.1 // one more part in flight near by about outweighs it
+)
+
+func (p *Policy) weight(s *server) float64 {
+	fitness := cmp.Or(s.fitness, p.meanFitness) // an unreported server counts as average
+	return fitness * p.nearness(s) * p.warmth(s) * s.leisure(p.now) * p.trust(s, 0) * p.pulse(s) * p.speed(s)
+}
+
+// leisure falls with this broker's own parts in flight. What others pile up there is for speed to see.
+func (s *server) leisure(now float64) float64 {
+	return math.Pow(1+float64(s.depth(now)), -crowding)
+}
+
+// speed falls with how much longer than the fleet's a server's latest parts took, while that is remembered.
+func (p *Policy) speed(s *server) float64 {
+	return math.Pow(math.Max(p.paceOf(s)/math.Max(p.pace, 1e-6), speedLeast), -distance)
+}
+
+// nearness is less than 1 for servers of other zones where crossing has a price.
+func (p *Policy) nearness(s *server) float64 {
+	if s.Zone == p.set.Zone || p.set.CrossZonePrice <= 0 {
+		return 1
+	}
+	return farShare
+}
+
+// warmth is the share of its capacity that a server surely has: less than 1 while it warms up.
+func (p *Policy) warmth(s *server) float64 {
+	age := p.now - s.coldSince
+	if p.set.WarmUp <= 0 || age >= p.set.WarmUp {
+		return 1
+	}
+	return p.set.ColdShare + (1-p.set.ColdShare)*math.Max(age, 0)/p.set.WarmUp
+}
+
+// admitsCold tells whether a cold server may get one more part. What warm ones answer bounds what they bear
+// from below, and each broker keeps to its own share of that.
+func (p *Policy) admitsCold(s *server) bool {
+	w := p.warmth(s)
+	if w >= 1 || p.set.FallTime <= 0 {
+		return true
+	} else if s.allowance != nil {
+		return len(s.sends) < s.allowance.Parts && p.now <= s.allowance.Until
+	}
+	s.sends = slices.DeleteFunc(s.sends, func(t float64) bool { return t < p.now-p.set.FallTime })
+	// Chance rounds this broker's share, anew in each window: up always would add up over the brokers.
+	if p.now >= s.luckUntil {
+		s.luck, s.luckUntil, p.drawn = p.rng.Float64(), p.now+p.set.FallTime, p.drawn+1
+	}
+	room := coldMargin * p.set.FallMultiple * w * p.set.FallTime * p.peak
+	room = math.Max(room, 1/float64(max(p.set.Brokers, 1))) // a broker that has seen no answer yet may try
+	// A broker that rarely has a part for a server leaves most windows unused, and takes more of the others.
+	room /= math.Min(1, (p.drawn+2)/(p.chances+1))
+	return float64(max(len(s.sends), s.own)+1) <= room+s.luck
+}
+
+// draw picks a replica for a part, or nil. All draws of one turn share one variate a server, and so meet.
+func (p *Policy) draw(pt *part) *server {
+	var best *server
+	for _, again := range []bool{false, true} {
+		p.cells.Holders(pt.Shard, func(s *server) {
+			tried, just := pt.tried(s, p.now)
+			if !s.ready() || just || tried && !again || !p.admitsCold(s) {
+				return
+			}
+			if s.turn != p.turn {
+				s.turn, s.key = p.turn, p.rng.ExpFloat64()/p.weight(s)
+			}
+			if best == nil || s.key < best.key {
+				best = s
+			}
+		})
+		if best != nil || len(pt.attempts) == 0 {
+			break
+		}
+	}
+	return best
+}
+
+// tried tells of a part's attempts at a server, and whether one is out or just was: it may refuse at once.
+func (pt *part) tried(s *server, now float64) (tried, just bool) {
+	for _, a := range pt.attempts {
+		tried = tried || a.srv == s
+		just = just || a.srv == s && (a.live || now < a.sentAt+holdPoll)
+	}
+	return
+}
+
+// depth counts this broker's parts at a server: those in flight, and those given up that it may still work
+// through. Queues go in order, so an answer clears all that was sent before it.
+func (s *server) depth(now float64) int {
+	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return now > g.until })
+	return s.own + len(s.ghosts)
+}
+
+type ghost struct{ sentAt, until float64 }
--- /dev/null
+++ b/internal/decision/servers.go
@@ -0,0 +1,202 @@
+package decision
+
+// What this broker knows of the servers: their list, their load reports, and when it asks for more.
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"mothrouter/internal/failures"
+)
+
+const (
+	inquireAbove = 0.2  // share of attempts cut off from which probes pay
+	probeSettle  = 0.3  // probes of a rebuild have answered by then
+	rebuildEvery = 10.0 // seconds between rebuilds of the fitness table (the thesis's refresh)
+)
+
+// server is what this broker knows of one server.
+type server struct {
+	Server
+	load         Load
+	heardAt      float64 // when load came; 0: never
+	answeredAt   float64 // its latest success
+	passed       float64 // when the latest part was sent that it answered
+	busySince    float64 // when the first part was sent after its latest success
+	ghosts       []ghost
+	failed       failures.Record
+	fitness      float64 // 0: unreported at the last rebuild
+	newsAt       float64 // its latest outcome, or when it was probed to learn whether it is well
+	own          int     // this broker's attempts out there
+	pace, paceAt float64 // latency over crowd of its latest parts, and when it was so
+
+	sends           []float64  // times of sends within FallTime, for the cold cap
+	coldSince       float64    // start of the warm-up; -Inf: warm
+	luck, luckUntil float64    // how the present window's room is rounded
+	allowance       *Allowance // of a budget shared with other brokers; nil: there is none
+
+	turn int     // the draw's turn that key belongs to
+	key  float64 // exponential variate / weight in that turn
+
+	number                 int  // of its place in the list's order
+	cold, going, forgotten bool // in Policy.cold, in Policy.going, in neither and no list
+}
+
+func (s *server) ready() bool { return s.State == Ready }
+func number(s *server) int    { return s.number }
+
+func (p *Policy) onList(l List) {
+	if l.Mode == ListFailed {
+		// Ask again soon, then less often: a directory that is down is not helped by more calls.
+		p.watchFails++
+		if p.set.AskForList {
+			p.watchAt = p.now + math.Min(0.5*math.Pow(2, float64(min(p.watchFails, 5))), p.set.AskWithin/3)
+		}
+		return
+	}
+	if l.Mode != ListCached {
+		p.watchFails, p.watchAt = 0, math.Inf(1)
+	}
+	if l.Mode != ListDelta {
+		for _, s := range p.servers {
+			s.State = Gone
+		}
+		p.cells.Clear()
+	}
+	for _, e := range l.Servers {
+		e.Zone = max(e.Zone, 0) // an odd zone is no index
+		s := p.byID[e.ID]
+		if s == nil {
+			p.numbered++
+			s = &server{load: NoLoad, coldSince: math.Inf(-1), number: p.numbered}
+			p.byID[e.ID] = s
+			p.servers = append(p.servers, s)
+		}
+		p.cells.Remove(s.Cell, s)
+		if e.Started > 0 && e.Started != s.Started {
+			// A new process: what was known of the old one is void.
+			s.coldSince, s.load, s.heardAt, s.fitness, s.ghosts = e.Started, NoLoad, 0, 0, nil
+			s.failed.Share = 0
+			if !s.cold {
+				s.cold, p.cold = true, append(p.cold, s)
+			}
+		}
+		s.Server, s.failed.Zone = e, e.Zone
+		p.place(s)
+	}
+	if l.Mode != ListDelta {
+		for _, s := range p.servers {
+			if s.State == Gone {
+				p.place(s)
+			}
+		}
+	}
+	p.forgetGone()
+}
+
+// place files a server where its entry of the list puts it.
+func (p *Policy) place(s *server) {
+	if s.State != Gone {
+		p.cells.Insert(s.Cell, s)
+	}
+	if s.State == Gone && !s.going {
+		s.going, p.going = true, append(p.going, s)
+	}
+	if s.ready() {
+		p.failed.Include(&s.failed)
+	} else {
+		p.failed.Exclude(&s.failed)
+	}
+	p.await(s)
+}
+
+// forgetGone forgets servers that are gone once nothing is out there: they would count as a fleet down.
+func (p *Policy) forgetGone() {
+	some := false
+	p.going = slices.DeleteFunc(p.going, func(s *server) bool {
+		s.forgotten = s.State == Gone && s.own == 0
+		s.going, some = s.State == Gone && !s.forgotten, some || s.forgotten
+		if s.forgotten {
+			delete(p.byID, s.ID)
+		}
+		return !s.going
+	})
+	if some {
+		forgotten := func(s *server) bool { return s.forgotten }
+		p.servers, p.cold = slices.DeleteFunc(p.servers, forgotten), slices.DeleteFunc(p.cold, forgotten)
+		p.news.Remove(forgotten)
+	}
+}
+
+func (p *Policy) onProbed(e Probed) {
+	if s := p.byID[e.Server]; s != nil {
+		if e.Status != OK || s.failed.Slow { // an answered probe says nothing of errors and full queues
+			p.mark(s, e.Status)
+		}
+		p.hear(s, e.Load, p.now)
+	}
+}
+
+// onHeard takes hearsay, unless this broker's own news is as new.
+func (p *Policy) onHeard(e Heard) {
+	s := p.byID[e.Server]
+	if s == nil || e.At < s.Started {
+		return
+	}
+	if e.Weight > 0 && e.At > s.failed.At {
+		p.failed.Hear(&s.failed, e.Failed, e.Weight, e.At)
+	}
+	if e.Pace > 0 && e.At > s.paceAt {
+		s.pace, s.paceAt = e.Pace, e.At
+	}
+	p.hear(s, e.Load, cmp.Or(e.LoadAt, e.At))
+}
+
+func (p *Policy) hear(s *server, l Load, at float64) {
+	if l != NoLoad && at >= s.heardAt {
+		s.load, s.heardAt = l, at
+	}
+}
+
+// inquire probes, while attempts are often cut off, the server of which news is oldest, one a part at most.
+func (p *Policy) inquire() {
+	if !p.set.MayProbe || p.cut < inquireAbove {
+		return
+	}
+	idle := func(s *server) bool { return s.ready() && s.own == 0 } // others come back when they are
+	if oldest, found := p.news.Least(idle); found {
+		oldest.newsAt = p.now
+		p.do(Probe{oldest.ID})
+	}
+}
+
+// await queues a server that may be probed.
+func (p *Policy) await(s *server) {
+	if p.set.MayProbe && s.ready() && s.own == 0 {
+		p.news.Push(s)
+	}
+}
+
+func (p *Policy) upkeep() {
+	if p.now >= p.watchAt {
+		p.do(Watch{On: true})
+		p.watchAt = p.now + math.Max(p.set.AskWithin/2, 1) // in case no reply comes at all
+	}
+	if p.now >= p.probeAt {
+		p.probeAt, p.rebuildAt = p.now+rebuildEvery, p.now
+		if p.set.ReportMode == ReportPull && p.set.MayProbe {
+			p.rebuildAt = p.now + probeSettle
+			for _, s := range p.servers {
+				if s.ready() {
+					p.do(Probe{s.ID})
+				}
+			}
+		}
+	}
+	if p.now >= p.rebuildAt {
+		p.rebuild()
+		p.rebuildAt = math.Inf(1)
+	}
+	p.wakeAt(min(p.watchAt, p.probeAt, p.rebuildAt))
+}
--- a/internal/lease/bearing.go
+++ b/internal/lease/bearing.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 )
 
-// What the module keeps to for itself (policy.go) holds for the process here.
+// What the module keeps to for itself (decision/draw.go) holds for the process here.
 const (
 	rateSpan   = 5.0  // seconds over which the answered rate is averaged
 	peakSpan   = 60.0 // seconds in which its peak is forgotten
