--- a/internal/median/median.go
+++ b/internal/median/median.go
@@ -6,8 +6,8 @@
 import "slices"
 
 const (
-	bandWidth  = 2.0 // the band reaches from the median over this to the median times this
-	scansWorth = 2   // after this many times all figures were computed one by one, a new band pays
+	bandWidth  = 1.25 // the band reaches from the median over this to the median times this
+	scansWorth = 2    // a new band pays once it would have saved computing all figures this many times
 )
 
 type side uint8
@@ -36,7 +36,8 @@
 	below, above int
 	near         []*Entry[T]
 	values       []float64
-	computed     int // figures computed since the last Reset
+	fresh        int // figures near the band when it was new; -1: it has not been asked since
+	wasted       int // figures computed since beyond these
 }
 
 // Len is the number of figures.
@@ -84,7 +85,7 @@
 func (t *Tracker[T]) Reset(median float64) {
 	t.low, t.high = max(median/bandWidth, t.Negligible), max(median*bandWidth, t.Negligible)
 	t.epoch++
-	t.below, t.above, t.computed = 0, 0, 0
+	t.below, t.above, t.fresh, t.wasted = 0, 0, -1, 0
 	clear(t.near)
 	t.near = t.near[:0]
 }
@@ -97,10 +98,13 @@
 		// Only figures near the band can be negative. There are too few of them to be the median.
 		return 0, t.low == t.Negligible && len(t.near) <= rank
 	}
-	if t.Len() == 0 || rank >= t.below+len(t.near) || t.computed > scansWorth*t.Len() {
+	if t.Len() == 0 || rank >= t.below+len(t.near) || t.wasted > scansWorth*t.Len() {
 		return 0, false
 	}
-	t.computed += len(t.near)
+	if t.fresh < 0 {
+		t.fresh = len(t.near)
+	}
+	t.wasted += max(len(t.near)-t.fresh, 0)
 	t.values = t.values[:0]
 	for _, e := range t.near {
 		t.values = append(t.values, figure(e.Item))
