Name the factors and steps of the decision module by what they do

ownLoadFactor, silenceFactor, wouldBeLate, updateFleet, probeOldest, countOutcome, learn, takeLoad, abandoned, rounding, fingerprint, cautious and their constants, in place of leisure, pulse, doomed, survey, inquire, mark, judge, hear, ghosts, luck, print and wary.

--- a/internal/decision/admission.go
+++ b/internal/decision/admission.go
@@ -10,7 +10,7 @@
 const (
 	admitStale = 0.4  // share of the time to the aim that the expected wait may take, where little is seen
 	admitFresh = 0.4  // and so much more where a server is heard of all the time
-	meritLeast = 0.7  // a narrower margin would refuse what an idle fleet serves at once
+	worthLeast = 0.7  // a narrower margin would refuse what an idle fleet serves at once
 	yieldShare = 0.3  // of that margin, for queries whose aim has passed, where little is seen of the fleet
 	waitsLess  = 0.95 // clients count the time left themselves
 	trialShare = 0.03 // of the parts too long in waiting that are let through
@@ -19,7 +19,7 @@
 // known tells that a query like this one has broken its servers lately.
 func (p *Policy) known(q *query) bool {
 	maps.DeleteFunc(p.breakers, func(_ uint64, until float64) bool { return p.now > until })
-	return p.breakers[q.print] > 0
+	return p.breakers[q.fingerprint] > 0
 }
 
 // wait is how long one more part of a shard is expected to take: harmonic means of its replicas' paces and
@@ -40,15 +40,15 @@
 	return alone + (able/share-alone)*all/able
 }
 
-// doomed tells at a query's arrival that it would not be done within its aim. The less is seen of each server
-// the wider the margin. A few parts are let through, to learn of its end. Where enough other parts make an
-// answer, only doomed ones are left out. Late repeats yield. Queries worth more have a wider margin.
-func (p *Policy) doomed(q *query) bool {
+// wouldBeLate tells at a query's arrival that it would not be done within its aim. The less is seen of each
+// server the wider the margin. A few late parts are let through, to learn of its end. Where enough
+// other parts make an answer, only late ones are left out. Late repeats yield. Worth widens the margin.
+func (p *Policy) wouldBeLate(q *query) bool {
 	left, limit := 0.0, (admitStale+admitFresh/p.memory)*(q.aim-p.now)
 	if parts := q.class.Need * float64(len(q.parts)); !p.set.WorthByWork && q.class.Worth > 0 {
 		p.worthAsked, p.partsAsked = p.worthAsked+q.class.Worth, p.partsAsked+parts
-		merit := q.class.Worth / parts * p.partsAsked / p.worthAsked
-		limit = math.Min(limit*math.Max(math.Sqrt(merit), meritLeast), q.aim-p.now)
+		relativeWorth := q.class.Worth / parts * p.partsAsked / p.worthAsked
+		limit = math.Min(limit*math.Max(math.Sqrt(relativeWorth), worthLeast), q.aim-p.now)
 	}
 	if q.late {
 		limit *= math.Pow(yieldShare, 1-memoryLeast/p.memory)
--- a/internal/decision/attempts.go
+++ b/internal/decision/attempts.go
@@ -109,8 +109,8 @@
 // a few go ahead, since what was seen of the fleet is old: if they come back late, the rest would not be done
 // in time and make others late. Where queries bring down the servers that begin them, one goes ahead a while.
 func (p *Policy) stride(q *query, in float64) int {
-	wary := in == 0 && (q.resets > 0 || p.now < p.waryUntil[q.Class])
-	if q.spread || !wary && !p.wide(q) {
+	cautious := in == 0 && (q.resets > 0 || p.now < p.cautiousUntil[q.Class])
+	if q.spread || !cautious && !p.wide(q) {
 		return 1
 	}
 	until, ahead := q.arrived+aheadTime*(q.aim-q.arrived), max(len(q.parts)/wideParts, aheadLeast)
@@ -125,7 +125,7 @@
 		return 0
 	case p.now >= until || q.spread:
 		return 1
-	case wary:
+	case cautious:
 		stride = len(q.parts)
 	}
 	p.wakeAt(until)
--- a/internal/decision/draw.go
+++ b/internal/decision/draw.go
@@ -9,26 +9,27 @@
 )
 
 const (
-	crowding   = 3.0 // steeper than proportional: the table does not see a queue build
-	distance   = 2.5 // how steeply slower servers are avoided
-	speedLeast = 0.3 // quick ones do not draw more than their weight in one lucky part
-	coldMargin = 0.8 // share of the fall limit that is used; the rest is for chance and uneven work
-	farShare   = 0.1 // one more part in flight near by about outweighs it
+	ownLoadExponent = 3.0 // steeper than proportional: the table does not see a queue build
+	speedExponent   = 2.5 // how steeply slower servers are avoided
+	speedLeast      = 0.3 // quick ones do not draw more than their weight in one lucky part
+	coldMargin      = 0.8 // share of the fall limit that is used; the rest is for chance and uneven work
+	farShare        = 0.1 // one more part in flight near by about outweighs it
 )
 
 func (p *Policy) weight(s *server) float64 {
 	fitness := cmp.Or(s.fitness, p.meanFitness) // an unreported server counts as average
-	return fitness * p.nearness(s) * p.warmth(s) * s.leisure(p.now) * p.trust(s, 0) * p.pulse(s) * p.speed(s)
+	return fitness * p.nearness(s) * p.warmth(s) * s.ownLoadFactor(p.now) *
+		p.trust(s, 0) * p.silenceFactor(s) * p.speed(s)
 }
 
-// leisure falls with this broker's own parts in flight. What others pile up there is for speed to see.
-func (s *server) leisure(now float64) float64 {
-	return math.Pow(1+float64(s.depth(now)), -crowding)
+// ownLoadFactor falls with this broker's own parts in flight. What others pile up there is for speed to see.
+func (s *server) ownLoadFactor(now float64) float64 {
+	return math.Pow(1+float64(s.depth(now)), -ownLoadExponent)
 }
 
 // speed falls with how much longer than the fleet's a server's latest parts took, while that is remembered.
 func (p *Policy) speed(s *server) float64 {
-	return math.Pow(math.Max(p.paceOf(s)/math.Max(p.pace, 1e-6), speedLeast), -distance)
+	return math.Pow(math.Max(p.paceOf(s)/math.Max(p.pace, 1e-6), speedLeast), -speedExponent)
 }
 
 // nearness is less than 1 for servers of other zones where crossing has a price.
@@ -59,14 +60,14 @@
 	}
 	s.sends = slices.DeleteFunc(s.sends, func(t float64) bool { return t < p.now-p.set.FallTime })
 	// Chance rounds this broker's share, anew in each window: up always would add up over the brokers.
-	if p.now >= s.luckUntil {
-		s.luck, s.luckUntil, p.drawn = p.rng.Float64(), p.now+p.set.FallTime, p.drawn+1
+	if p.now >= s.roundedUntil {
+		s.rounding, s.roundedUntil, p.drawn = p.rng.Float64(), p.now+p.set.FallTime, p.drawn+1
 	}
 	room := coldMargin * p.set.FallMultiple * w * p.set.FallTime * p.peak
 	room = math.Max(room, 1/float64(max(p.set.Brokers, 1))) // a broker that has seen no answer yet may try
 	// A broker that rarely has a part for a server leaves most windows unused, and takes more of the others.
 	room /= math.Min(1, (p.drawn+2)/(p.chances+1))
-	return float64(max(len(s.sends), s.own)+1) <= room+s.luck
+	return float64(max(len(s.sends), s.own)+1) <= room+s.rounding
 }
 
 // draw picks a replica for a part, or nil. All draws of one turn share one variate a server, and so meet.
@@ -104,8 +105,8 @@
 // depth counts this broker's parts at a server: those in flight, and those given up that it may still work
 // through. Queues go in order, so an answer clears all that was sent before it.
 func (s *server) depth(now float64) int {
-	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return now > g.until })
-	return s.own + len(s.ghosts)
+	s.abandoned = slices.DeleteFunc(s.abandoned, func(g abandonedPart) bool { return now > g.until })
+	return s.own + len(s.abandoned)
 }
 
-type ghost struct{ sentAt, until float64 }
+type abandonedPart struct{ sentAt, until float64 }
--- a/internal/decision/health.go
+++ b/internal/decision/health.go
@@ -8,25 +8,25 @@
 )
 
 const (
-	memoryLeast = 1.0   // seconds in which a pace is half forgotten, beside a gap between two answers
-	memoryMost  = 15.0  // a trouble may be over by then
-	zoneStep    = 0.05  // weight of one outcome in a zone's failed share and in the share cut off
-	badStep     = 0.25  // weight of one outcome in a server's failed share
-	negligible  = 1e-33 // below 2^-108: 1 less a share and such a median rounds as 1 less the share does
-	forgiveIn   = 5.0   // seconds in which a bad mark halves; about a trouble's shortest span
-	distrust    = 4.0   // a server that fails a third of its parts gets a fifth of its share
-	trustFloor  = 1e-4  // below a sound server's weight however crowded; forgiving brings the trickle
-	silentAfter = 2.0   // paces without a word before a server is doubted
-	silentLeast = 0.01  // seconds: shorter ones are chance
-	newsMost    = 0.9   // the last outcome never tells all
-	newsSpan    = 2.0   // seconds of outcomes that outweigh older ones
-	paceFades   = 10.0  // seconds in which it halves by itself: refusing all, a broker hears no more of it
-	rateSpan    = 5.0   // seconds over which the answered rate is averaged
-	peakSpan    = 60.0  // seconds in which its peak is forgotten
+	memoryLeast     = 1.0   // seconds in which a pace is half forgotten, beside a gap between two answers
+	memoryMost      = 15.0  // a trouble may be over by then
+	zoneStep        = 0.05  // weight of one outcome in a zone's failed share and in the share cut off
+	badStep         = 0.25  // weight of one outcome in a server's failed share
+	negligible      = 1e-33 // below 2^-108: 1 less a share and such a median rounds as 1 less the share does
+	failureHalfLife = 5.0   // seconds in which a bad mark halves; about a trouble's shortest span
+	failureExponent = 4.0   // a server that fails a third of its parts gets a fifth of its share
+	trustFloor      = 1e-4  // below a sound server's weight however crowded; forgiving brings the trickle
+	silentAfter     = 2.0   // paces without a word before a server is doubted
+	silentLeast     = 0.01  // seconds: shorter ones are chance
+	newsMost        = 0.9   // the last outcome never tells all
+	newsSpan        = 2.0   // seconds of outcomes that outweigh older ones
+	paceFades       = 10.0  // seconds in which it halves itself: refusing all, a broker hears no more of it
+	rateSpan        = 5.0   // seconds over which the answered rate is averaged
+	peakSpan        = 60.0  // seconds in which its peak is forgotten
 )
 
-// mark counts an outcome for or against a server, its zone and the links of this broker.
-func (p *Policy) mark(s *server, status Status) {
+// countOutcome counts an outcome for or against a server, its zone and the links of this broker.
+func (p *Policy) countOutcome(s *server, status Status) {
 	failed, cut := 1.0, 0.0
 	switch status {
 	case TimedOut, Cancelled, NotSent:
@@ -51,28 +51,28 @@
 // what exceeds the usual counts. It could harm if one class alone fails.
 func (p *Policy) trust(s *server, usual float64) float64 {
 	excess := p.failed.Of(&s.failed) - usual
-	return math.Max(math.Pow(1-math.Max(excess, 0), distrust), trustFloor)
+	return math.Max(math.Pow(1-math.Max(excess, 0), failureExponent), trustFloor)
 }
 
-// pulse falls while a server that owes answers is silent for longer than usual: it may hang.
-func (p *Policy) pulse(s *server) float64 {
+// silenceFactor falls while a server that owes answers is silent for longer than usual: it may hang.
+func (p *Policy) silenceFactor(s *server) float64 {
 	if s.own == 0 || p.pace == 0 || s.busySince < s.answeredAt {
 		return 1
 	}
 	silence := (p.now - s.busySince) / math.Max(silentAfter*p.pace, silentLeast)
-	return math.Min(1, math.Pow(math.Max(silence, 1), -crowding))
+	return math.Min(1, math.Pow(math.Max(silence, 1), -ownLoadExponent))
 }
 
 // sound is how far a server does its work, by what this broker sees.
-func (p *Policy) sound(s *server) float64 { return p.trust(s, p.fleetBad) * p.pulse(s) }
+func (p *Policy) sound(s *server) float64 { return p.trust(s, p.fleetBad) * p.silenceFactor(s) }
 
 // paceOf is a server's own pace as far as it is remembered, else the fleet's.
 func (p *Policy) paceOf(s *server) float64 {
 	return p.pace + (s.pace-p.pace)*math.Exp2(-(p.now-s.paceAt)/p.memory)
 }
 
-// survey takes what all servers are compared with, once a batch.
-func (p *Policy) survey() {
+// updateFleet takes what all servers are compared with, once a batch.
+func (p *Policy) updateFleet() {
 	ready := p.failed.Len()
 	if ready > 0 {
 		p.fleetBad = p.failed.Median()
--- a/internal/decision/policy.go
+++ b/internal/decision/policy.go
@@ -38,11 +38,11 @@
 	probeAt, rebuildAt float64 // next round of probes, next rebuild
 	watchAt            float64 // when to ask for the list again; +Inf: subscribed or not needed
 	watchFails, turn   int
-	breakers           map[uint64]float64 // by print, queries that broke their servers: until when
+	breakers           map[uint64]float64 // by fingerprint, queries that broke their servers: until when
 	wake, armed        float64            // earliest wish of this batch, earliest timer out
 
 	latency                []recent.Ring           // latest latencies by class
-	waryUntil              []float64               // by class: until then one part goes ahead
+	cautiousUntil          []float64               // by class: until then one part goes ahead
 	waits                  []float64               // by class: the longest that a client waits for one try
 	leftAges               recent.Ring             // ages of the latest queries whose clients left
 	leaving                float64                 // averaged share of queries whose clients leave
@@ -66,9 +66,9 @@
 		armed: math.Inf(1), meanFitness: 1, byID: map[string]*server{}, breakers: map[uint64]float64{},
 		parts: map[RequestID]*part{}, queries: map[int64]*query{}, byQuery: map[RequestID]*query{}}
 	p.cells = cells.New(s.Cells, s.Reach, number)
-	p.failed = failures.New(forgiveIn, zoneStep, negligible)
+	p.failed = failures.New(failureHalfLife, zoneStep, negligible)
 	p.news = lazyheap.New(func(s *server) float64 { return s.newsAt }, number)
-	p.latency, p.waryUntil, p.waits = make([]recent.Ring, n), make([]float64, n), make([]float64, n)
+	p.latency, p.cautiousUntil, p.waits = make([]recent.Ring, n), make([]float64, n), make([]float64, n)
 	if !s.AskForList {
 		p.watchAt = math.Inf(1)
 	}
@@ -81,7 +81,7 @@
 // Handle takes the events of one moment in their order and returns what to do, in order.
 func (p *Policy) Handle(now float64, events []Event) []Action {
 	p.now, p.failed.Now, p.out, p.wake = now, now, nil, math.Inf(1)
-	p.survey()
+	p.updateFleet()
 	for _, e := range events {
 		switch e := e.(type) {
 		case List:
--- a/internal/decision/queries.go
+++ b/internal/decision/queries.go
@@ -9,14 +9,14 @@
 )
 
 const (
-	sumSlack    = 1e-6 // rounding of weight sums; the rules allow more
-	answerLead  = 3    // ticks before the aim or deadline at which the last answer leaves
-	breakChance = 0.05 // so unlikely must it be that so many attempts were broken off by chance
-	waryFor     = 30.0 // seconds: at size a broker meets such a query only once in so long
-	ghostSpan   = 3.0  // seconds that a part given up counts without news: about a full queue's length
-	paceSpan    = 2.0  // seconds of answers that make the fleet's pace
-	leaveStep   = 0.05 // weight of one query in the share of clients that leave
-	leaveMany   = 0.1  // a share beyond single impatient clients
+	sumSlack      = 1e-6 // rounding of weight sums; the rules allow more
+	answerLead    = 3    // ticks before the aim or deadline at which the last answer leaves
+	breakChance   = 0.05 // so unlikely must it be that so many attempts were broken off by chance
+	cautiousFor   = 30.0 // seconds: at size a broker meets such a query only once in so long
+	abandonedSpan = 3.0  // seconds that a part given up counts without news: about a full queue's length
+	paceSpan      = 2.0  // seconds of answers that make the fleet's pace
+	leaveStep     = 0.05 // weight of one query in the share of clients that leave
+	leaveMany     = 0.1  // a share beyond single impatient clients
 )
 
 type query struct {
@@ -31,7 +31,7 @@
 	spread      bool   // the parts that went ahead have come back soon enough
 	late        bool   // its aim has passed since its client's first try
 	resets      int    // attempts whose server broke off
-	print       uint64 // hash of its class, shards and weights: a client's repeat has the same
+	fingerprint uint64 // hash of its class, shards and weights: a client's repeat has the same
 }
 
 type part struct {
@@ -53,7 +53,7 @@
 		return
 	}
 	c := &p.set.Classes[e.Class]
-	q := &query{Query: e, class: c, step: 1, arrived: cmp.Or(e.Came, p.now), print: uint64(e.Class + 1)}
+	q := &query{Query: e, class: c, step: 1, arrived: cmp.Or(e.Came, p.now), fingerprint: uint64(e.Class + 1)}
 	lead := p.lead() + p.now - q.arrived // the way out takes as long as the way in: this broker's own work
 	q.aim = math.Min(q.arrived+c.Aim+c.AimStretch*e.Work, e.Deadline) - lead
 	if q.end = q.aim; c.LateWorth > 0 {
@@ -77,9 +77,9 @@
 	if q := p.queries[e.Number]; q != nil && !q.ended {
 		pt := &part{Part: e, q: q}
 		q.parts = append(q.parts, pt)
-		q.print = (q.print^uint64(e.Shard+1))*printPrime ^ math.Float64bits(e.Weight)
+		q.fingerprint = (q.fingerprint^uint64(e.Shard+1))*fingerprintPrime ^ math.Float64bits(e.Weight)
 		p.parts[e.ID] = pt
-		p.inquire()
+		p.probeOldest()
 	}
 }
 
@@ -91,8 +91,8 @@
 	a := &pt.attempts[e.Attempt]
 	a.live, a.mayRun = false, e.Status != Overloaded && e.Status != Unreachable && e.Status != NotSent
 	pt.live--
-	p.hear(a.srv, e.Load, p.now)
-	p.judge(a, pt, e)
+	p.takeLoad(a.srv, e.Load, p.now)
+	p.learn(a, pt, e)
 	a.srv.own--
 	p.await(a.srv)
 	switch {
@@ -110,11 +110,11 @@
 	}
 }
 
-func (p *Policy) judge(a *attempt, pt *part, e Ended) {
+func (p *Policy) learn(a *attempt, pt *part, e Ended) {
 	s := a.srv
-	p.mark(s, e.Status)
+	p.countOutcome(s, e.Status)
 	if e.Status == TimedOut || e.Status == Cancelled {
-		s.ghosts = append(s.ghosts, ghost{a.sentAt, p.now + ghostSpan})
+		s.abandoned = append(s.abandoned, abandonedPart{a.sentAt, p.now + abandonedSpan})
 	}
 	// A full queue counts as a whole aim. Only sound servers tell how fast the fleet is, not a few that hang.
 	took, own := e.Latency/a.crowd, p.paceOf(s)
@@ -131,7 +131,7 @@
 		return
 	}
 	s.answeredAt, s.passed = p.now, math.Max(s.passed, a.sentAt)
-	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.sentAt <= a.sentAt })
+	s.abandoned = slices.DeleteFunc(s.abandoned, func(g abandonedPart) bool { return g.sentAt <= a.sentAt })
 	p.latency[pt.q.Class].Add(e.Latency)
 	p.rate++
 	p.sure += math.Floor(p.warmth(s)) // what many cold ones answer would pass for what few warm ones bear
@@ -218,10 +218,10 @@
 	// All its attempts ended, more of them broken off than by chance: it brings down its servers.
 	case q.resets > 1 && in+float64(live) == 0 && q.step == 1 &&
 		math.Pow(p.cut, float64(q.resets)) < breakChance:
-		p.waryUntil[q.Class] = p.now + waryFor
-		p.breakers[q.print] = q.arrived + c.Deadline
+		p.cautiousUntil[q.Class] = p.now + cautiousFor
+		p.breakers[q.fingerprint] = q.arrived + c.Deadline
 		p.giveUp(q)
-	case !q.sent && (p.known(q) || p.doomed(q)):
+	case !q.sent && (p.known(q) || p.wouldBeLate(q)):
 		p.giveUp(q)
 	default:
 		q.sent = true
@@ -233,4 +233,4 @@
 	}
 }
 
-const printPrime = 1099511628211 // of the FNV hash
+const fingerprintPrime = 1099511628211 // of the FNV hash
--- a/internal/decision/servers.go
+++ b/internal/decision/servers.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	inquireAbove = 0.2  // share of attempts cut off from which probes pay
+	probeAbove   = 0.2  // share of attempts cut off from which probes pay
 	probeSettle  = 0.3  // probes of a rebuild have answered by then
 	rebuildEvery = 10.0 // seconds between rebuilds of the fitness table (the thesis's refresh)
 )
@@ -24,17 +24,17 @@
 	answeredAt   float64 // its latest success
 	passed       float64 // when the latest part was sent that it answered
 	busySince    float64 // when the first part was sent after its latest success
-	ghosts       []ghost
+	abandoned    []abandonedPart
 	failed       failures.Record
 	fitness      float64 // 0: unreported at the last rebuild
 	newsAt       float64 // its latest outcome, or when it was probed to learn whether it is well
 	own          int     // this broker's attempts out there
 	pace, paceAt float64 // latency over crowd of its latest parts, and when it was so
 
-	sends           []float64  // times of sends within FallTime, for the cold cap
-	coldSince       float64    // start of the warm-up; -Inf: warm
-	luck, luckUntil float64    // how the present window's room is rounded
-	allowance       *Allowance // of a budget shared with other brokers; nil: there is none
+	sends                  []float64  // times of sends within FallTime, for the cold cap
+	coldSince              float64    // start of the warm-up; -Inf: warm
+	rounding, roundedUntil float64    // how the present window's room is rounded
+	allowance              *Allowance // of a budget shared with other brokers; nil: there is none
 
 	turn int     // the draw's turn that key belongs to
 	key  float64 // exponential variate / weight in that turn
@@ -76,7 +76,7 @@
 		p.cells.Remove(s.Cell, s)
 		if e.Started > 0 && e.Started != s.Started {
 			// A new process: what was known of the old one is void.
-			s.coldSince, s.load, s.heardAt, s.fitness, s.ghosts = e.Started, NoLoad, 0, 0, nil
+			s.coldSince, s.load, s.heardAt, s.fitness, s.abandoned = e.Started, NoLoad, 0, 0, nil
 			s.failed.Share = 0
 			if !s.cold {
 				s.cold, p.cold = true, append(p.cold, s)
@@ -132,9 +132,9 @@
 func (p *Policy) onProbed(e Probed) {
 	if s := p.byID[e.Server]; s != nil {
 		if e.Status != OK || s.failed.Slow { // an answered probe says nothing of errors and full queues
-			p.mark(s, e.Status)
+			p.countOutcome(s, e.Status)
 		}
-		p.hear(s, e.Load, p.now)
+		p.takeLoad(s, e.Load, p.now)
 	}
 }
 
@@ -150,18 +150,18 @@
 	if e.Pace > 0 && e.At > s.paceAt {
 		s.pace, s.paceAt = e.Pace, e.At
 	}
-	p.hear(s, e.Load, cmp.Or(e.LoadAt, e.At))
+	p.takeLoad(s, e.Load, cmp.Or(e.LoadAt, e.At))
 }
 
-func (p *Policy) hear(s *server, l Load, at float64) {
+func (p *Policy) takeLoad(s *server, l Load, at float64) {
 	if l != NoLoad && at >= s.heardAt {
 		s.load, s.heardAt = l, at
 	}
 }
 
-// inquire probes, while attempts are often cut off, the server of which news is oldest, one a part at most.
-func (p *Policy) inquire() {
-	if !p.set.MayProbe || p.cut < inquireAbove {
+// probeOldest probes, while attempts are often cut off, the server of which news is oldest: one a part.
+func (p *Policy) probeOldest() {
+	if !p.set.MayProbe || p.cut < probeAbove {
 		return
 	}
 	idle := func(s *server) bool { return s.ready() && s.own == 0 } // others come back when they are
