--- a/internal/scale/page_test.go
+++ b/internal/scale/page_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"os"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -29,7 +30,11 @@
 	}
 	stands, err := os.ReadFile(pagePath)
 	require.NoError(t, err)
-	require.Equal(t, string(page), string(stands), "go test ./internal/scale -run TestPage -update")
+	want, have := strings.Split(string(page), "\n"), strings.Split(string(stands), "\n")
+	for i := range min(len(want), len(have)) {
+		require.Equal(t, want[i], have[i], "line %d; go test ./internal/scale -run TestPage -update", i+1)
+	}
+	require.Len(t, have, len(want))
 }
 
 // A value that is changed in any one record changes the page: no figure of a run is left out or written by hand.
