--- a/internal/scale/page.go
+++ b/internal/scale/page.go
@@ -72,6 +72,27 @@
 
 type page struct{ records []*Record }
 
+// firstMark behind an experiment's name asks for its earliest record instead of its latest.
+const firstMark = "@first"
+
+// record is the latest record of an experiment, or the earliest.
+func (p page) record(experiment string) (*Record, error) {
+	name, first := strings.CutSuffix(experiment, firstMark)
+	if !first {
+		return Latest(p.records, name)
+	}
+	var earliest *Record
+	for _, r := range p.records {
+		if r.Experiment == name && (earliest == nil || r.Began.Before(earliest.Began)) {
+			earliest = r
+		}
+	}
+	if earliest == nil {
+		return nil, fmt.Errorf("%w of %q", errNoRecord, name)
+	}
+	return earliest, nil
+}
+
 // late is how many parts in a million may be late, and hedged the same of a first copy that has a hedge behind it.
 func (p page) late(parts, floor float64) (float64, error) {
 	return p.mean("quantile", "late parts", fmt.Sprintf("parts=%g floor=%g", parts, floor))
@@ -99,7 +120,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r, err := Latest(p.records, experiment)
+	r, err := p.record(experiment)
 	if errors.Is(err, errNoRecord) {
 		return nil, nil
 	} else if err != nil {
@@ -164,7 +185,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	r, err := Latest(p.records, experiment)
+	r, err := p.record(experiment)
 	if errors.Is(err, errNoRecord) {
 		return nil, nil, nil
 	} else if err != nil {
@@ -288,7 +309,7 @@
 
 // table is one quantity at all points of an experiment's axis, a row a point.
 func (p page) table(experiment, axis string, names ...string) (string, error) {
-	r, err := Latest(p.records, experiment)
+	r, err := p.record(experiment)
 	if errors.Is(err, errNoRecord) {
 		return notRun, nil
 	} else if err != nil {
