Measure the distribution of configuration over loopback

The experiment configuration: hubs in processes of their own, hollow followers in another; a start of all at once, an ordinary stretch without and with changes, the loss of a hub without a word.

--- a/internal/scale/child.go
+++ b/internal/scale/child.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -25,8 +26,11 @@
 	childSize     = "SCALE_CHILD_SIZE"
 	roleServers   = "record-servers"
 	roleDiscovery = "discovery"
+	roleHub       = "configuration-hub"
+	roleFollowers = "configuration-followers"
 	childReady    = "ready"
 	childStart    = 30 * time.Second // it must be ready within
+	childLine     = 1 << 20          // bytes of a line that it says at most
 	connectHead   = 4096             // bytes of a request's head that are read at most
 )
 
@@ -44,6 +48,13 @@
 			return true, err
 		}
 		return true, serveDiscovery(size)
+	case roleHub:
+		return true, serveHub()
+	case roleFollowers:
+		if err != nil {
+			return true, err
+		}
+		return true, serveFollowers(size)
 	}
 	return false, nil
 }
@@ -69,6 +80,7 @@
 type child struct {
 	cmd   *exec.Cmd
 	in    io.WriteCloser
+	said  *bufio.Scanner
 	lines []string // that it said before it was ready
 }
 
@@ -89,11 +101,13 @@
 	}
 	timer := time.AfterFunc(childStart, func() { c.in.Close() })
 	defer timer.Stop()
-	for said := bufio.NewScanner(out); said.Scan(); {
-		if said.Text() == childReady {
+	c.said = bufio.NewScanner(out)
+	c.said.Buffer(nil, childLine)
+	for c.said.Scan() {
+		if c.said.Text() == childReady {
 			return c, nil
 		}
-		c.lines = append(c.lines, said.Text())
+		c.lines = append(c.lines, c.said.Text())
 	}
 	c.in.Close()
 	return nil, errors.Join(errors.New("scale: a child was not ready"), c.cmd.Wait())
@@ -109,6 +123,37 @@
 	return c.cmd.ProcessState.UserTime() + c.cmd.ProcessState.SystemTime(), err
 }
 
+// ask sends a command as one line of JSON and reads the answer, which is one too.
+func (c *child) ask(command, answer any) error {
+	if err := json.NewEncoder(c.in).Encode(command); err != nil {
+		return err
+	}
+	if !c.said.Scan() {
+		return errors.Join(errors.New("scale: a child has ended"), c.said.Err())
+	}
+	return json.Unmarshal(c.said.Bytes(), answer)
+}
+
+// serveCommands is the child's side of ask: it answers each command until the parent closes its standard input.
+func serveCommands[Command, Answer any](do func(Command) (Answer, error)) error {
+	in, out := json.NewDecoder(os.Stdin), json.NewEncoder(os.Stdout)
+	for {
+		var command Command
+		if err := in.Decode(&command); errors.Is(err, io.EOF) {
+			return nil
+		} else if err != nil {
+			return err
+		}
+		answer, err := do(command)
+		if err != nil {
+			return err
+		}
+		if err := out.Encode(answer); err != nil {
+			return err
+		}
+	}
+}
+
 // change asks a stand-in for discovery for its changes.
 func (c *child) change() error {
 	_, err := io.WriteString(c.in, "change\n")
--- /dev/null
+++ b/internal/scale/configuration_document.go
@@ -0,0 +1,63 @@
+package scale
+
+import (
+	"bytes"
+	"fmt"
+	"time"
+
+	"mothrouter/internal/configpb"
+	"mothrouter/internal/distribution"
+)
+
+const (
+	bytesPerKB = 1 << 10
+	// classBytes is what a class takes of a document at most: 116 bytes of its own and 3 in each of three arrays.
+	classBytes = 140
+	// documentRest is what a document takes without its classes at most.
+	documentRest = 1200
+)
+
+// documentOf is a document of so many bytes, 2 KiB at least: the example's settings with as many classes as fill it,
+// and spaces for the rest. The aim of each class differs from one number to the next.
+func documentOf(number uint64, size int) []byte {
+	classes := (size - documentRest) / classBytes
+	var b bytes.Buffer
+	b.WriteString(`{"discovery": "127.0.0.1:8500", "settings": {"callers": {"marksRetry": false},
+"caps": {"cancel": true, "connIdleS": 15.0, "connectTimeoutS": 0.25, "maxRetryAfterS": 0.5, "openCap": 267,
+"probes": true, "retryAfter": true, "secondCopies": false, "sendCap": 4, "streamsPerConn": 100}, "classes": [`)
+	aim := 1 + float64(number%100)/100
+	for i := range classes {
+		fmt.Fprintf(&b, `%s{"name": "class-%04d", "objectiveS": %.2f, "deadlineS": 4.0, "lateWorth": 0.0, `+
+			`"semantics": "free", "worth": 1.0}`, separator(i), i, aim)
+	}
+	b.WriteString(`], "discovery": "push", "familyInfo": {"bundleMax": 1, "cells": 2, "reach": 2, "slabs": 4`)
+	for _, array := range []struct{ key, value string }{
+		{"classFloor", "1"}, {"needByClass", "1"}, {"partialEarns", "1"}, {"fetchParts", "0"},
+	} {
+		fmt.Fprintf(&b, `, "%s": [`, array.key)
+		for i := range classes {
+			b.WriteString(separator(i) + array.value)
+		}
+		b.WriteByte(']')
+	}
+	b.WriteString(`}, "index": 0, "peersTotal": 1, "machineTypes": ["m"],
+"report": {"columns": ["busy", "rif"], "how": "piggyback"},
+"rules": {"coldShare": 0.2, "drainGraceS": 0.25, "fallMultiple": 2.5, "fallS": 1.5, "warmUpS": 17.0},
+"tickS": 0.005, "tiers": ["usage-backends"], "workload": "fanout", "zone": 0, "zones": ["a"]}}`)
+	b.Write(bytes.Repeat([]byte{' '}, max(size-b.Len(), 0)))
+	return b.Bytes()
+}
+
+func separator(index int) string {
+	if index == 0 {
+		return ""
+	}
+	return ","
+}
+
+// revisionOf is the revision of a number, as the log would have it.
+func revisionOf(number uint64, size int) *configpb.Revision {
+	document := documentOf(number, size)
+	return &configpb.Revision{Number: number, Checksum: distribution.Checksum(document), Document: document,
+		PublishedUnixMs: time.Now().UnixMilli()}
+}
--- /dev/null
+++ b/internal/scale/configuration_followers.go
@@ -0,0 +1,157 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"mothrouter/internal/config"
+	"mothrouter/internal/configclient"
+	"mothrouter/internal/configpb"
+	"mothrouter/internal/distribution"
+)
+
+const followersLook = 20 * time.Millisecond // between two looks at all followers, which are not in counted stretches
+
+// followersCommand is what the parent asks of the followers. One of its parts is set.
+type followersCommand struct {
+	Start   []distribution.Machine // start all at once, then wait as for InForce 1
+	Bytes   int                    // of the document of the start
+	Seed    uint64
+	InForce uint64 // wait until this revision is in force at all
+	Lost    string // wait until all follow another machine than this
+	Memory  bool   // measure that
+}
+
+// followersAnswer is what the followers have used since the start of their process.
+type followersAnswer struct {
+	Processor time.Duration
+	At        int64   // Unix nanoseconds, of the command
+	Done      int64   // of when that was so for which it waited
+	Came      []int64 // for InForce: of when the revision was read, of each follower
+	Applied   []int64 // and of when it was in force
+	Memory    float64 // bytes; 0: not asked for
+}
+
+// follower is a hollow broker: it reads, checks and compares each document, as a broker does, and has no core to give
+// it to.
+type follower struct {
+	*configclient.Client
+	start *config.Document
+
+	mu      sync.Mutex
+	number  uint64 // in force
+	came    int64  // Unix nanoseconds: before it was checked
+	applied int64  // since, Unix nanoseconds
+}
+
+func (f *follower) apply(revision *configpb.Revision) *configpb.Refusal {
+	came := time.Now().UnixNano()
+	document, err := config.ParseDocument(revision.GetDocument())
+	if err == nil {
+		err = document.Changes(f.start)
+	}
+	if err != nil {
+		return &configpb.Refusal{Number: revision.GetNumber(), Key: "document", Reason: err.Error()}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.number, f.came, f.applied = revision.GetNumber(), came, time.Now().UnixNano()
+	return nil
+}
+
+// since is when a revision or a later one was read and came into force; 0: not yet.
+func (f *follower) since(number uint64) (came, applied int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.number < number {
+		return 0, 0
+	}
+	return f.came, f.applied
+}
+
+// has tells that a revision or a later one is in force.
+func (f *follower) has(number uint64) bool {
+	_, applied := f.since(number)
+	return applied != 0
+}
+
+// followersChild is all followers of a run.
+type followersChild struct {
+	followers []*follower
+	count     int
+}
+
+// serveFollowers is the main of the child that follows.
+func serveFollowers(count int) error {
+	fmt.Println(childReady)
+	return serveCommands((&followersChild{count: count}).do)
+}
+
+func (c *followersChild) do(command followersCommand) (answer followersAnswer, err error) {
+	answer.At = time.Now().UnixNano()
+	switch {
+	case command.Start != nil:
+		if err = c.start(command); err == nil {
+			err = c.until(func(f *follower) bool { return f.has(1) })
+		}
+	case command.InForce != 0:
+		err = c.until(func(f *follower) bool { return f.has(command.InForce) })
+		for _, f := range c.followers {
+			came, applied := f.since(command.InForce)
+			answer.Came, answer.Applied = append(answer.Came, came), append(answer.Applied, applied)
+		}
+	case command.Lost != "":
+		err = c.until(func(f *follower) bool {
+			status := f.Status()
+			return status.Control != "" && status.Control != command.Lost && !status.Heard.IsZero()
+		})
+	}
+	answer.Done, answer.Processor = time.Now().UnixNano(), processorTime()
+	if command.Memory {
+		answer.Memory = memoryInUse()
+	}
+	return answer, err
+}
+
+// start starts all followers at once. They lie in the target's zones and regions.
+func (c *followersChild) start(command followersCommand) error {
+	start, err := config.ParseDocument(documentOf(0, command.Bytes))
+	if err != nil {
+		return err
+	}
+	for i := range c.count {
+		f := &follower{start: start}
+		f.Client, err = configclient.New(configclient.Options{
+			Name: fmt.Sprint("n", i), Started: time.Now(), Region: regionName(i), Zone: fmt.Sprint("zone-", i%TargetZones),
+			Control: command.Start, Callers: c.count, Seed: command.Seed + uint64(i)*7919, Log: nobody, Apply: f.apply,
+		})
+		if err != nil {
+			return err
+		}
+		c.followers = append(c.followers, f)
+	}
+	for _, f := range c.followers {
+		go f.Run(context.Background()) // until the process ends
+	}
+	return nil
+}
+
+// until waits until something holds of all followers.
+func (c *followersChild) until(holds func(*follower) bool) error {
+	for end := time.Now().Add(followersWithin); time.Now().Before(end); time.Sleep(followersLook) {
+		if !slices.ContainsFunc(c.followers, func(f *follower) bool { return !holds(f) }) {
+			return nil
+		}
+	}
+	missing := 0
+	for _, f := range c.followers {
+		if !holds(f) {
+			missing++
+		}
+	}
+	return errors.Join(errSlow, fmt.Errorf("%d followers of %d lack it", missing, len(c.followers)))
+}
--- /dev/null
+++ b/internal/scale/configuration_hub.go
@@ -0,0 +1,153 @@
+package scale
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"mothrouter/internal/confighub"
+	"mothrouter/internal/configpb"
+)
+
+const (
+	confirmEvery = 100 * time.Millisecond // the leader's word that the newest revision is the newest
+	acceptsMost  = 1 << 14                // connections that are noted
+)
+
+// hubCommand is what the parent asks of a hub.
+type hubCommand struct {
+	Publish uint64 // the number of a revision that the log has committed; 0: none
+	Bytes   int    // of its document
+	Memory  bool   // measure that, which takes a collection of the heap
+}
+
+// hubAnswer is what a hub has used since its start, but Peak since the answer before.
+type hubAnswer struct {
+	Processor time.Duration
+	In, Out   int64   // bytes on its connections
+	Streams   int     // brokers connected
+	Accepts   int     // connections taken
+	Peak      int     // of the connections, within any one second
+	Memory    float64 // bytes; 0: not asked for
+	At        int64   // Unix nanoseconds: before the revision was told
+}
+
+// hubChild is one control machine without the log.
+type hubChild struct {
+	configpb.UnimplementedControlServer
+	hub     *confighub.Hub
+	network *countedListener
+}
+
+// serveHub is the main of a child that serves Follow.
+func serveHub() error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	h := &hubChild{hub: confighub.New(nobody), network: &countedListener{Listener: listener}}
+	server := grpc.NewServer(confighub.ServerOptions()...)
+	configpb.RegisterControlServer(server, h)
+	go server.Serve(h.network)
+	defer server.Stop()
+	go h.confirm()
+	fmt.Println(listener.Addr())
+	fmt.Println(childReady)
+	return serveCommands(h.do)
+}
+
+func (h *hubChild) Follow(stream grpc.BidiStreamingServer[configpb.Report, configpb.Update]) error {
+	return h.hub.Follow(stream)
+}
+
+// confirm does what the log does while it has a leader, until the process ends.
+func (h *hubChild) confirm() {
+	for {
+		h.hub.SetNewest(nil, time.Now())
+		time.Sleep(confirmEvery)
+	}
+}
+
+func (h *hubChild) do(command hubCommand) (hubAnswer, error) {
+	answer := hubAnswer{At: time.Now().UnixNano()}
+	if command.Publish != 0 {
+		revision := revisionOf(command.Publish, command.Bytes)
+		answer.At = time.Now().UnixNano()
+		if err := h.hub.SetNewest(revision, time.Now()); err != nil {
+			return hubAnswer{}, err
+		}
+	}
+	answer.Processor = processorTime()
+	answer.In, answer.Out = h.network.in.Load(), h.network.out.Load()
+	answer.Accepts, answer.Peak = h.network.peak()
+	for _, broker := range h.hub.Status().Brokers {
+		if broker.GetConnected() {
+			answer.Streams++
+		}
+	}
+	if command.Memory {
+		answer.Memory = memoryInUse()
+	}
+	return answer, nil
+}
+
+// countedListener counts the bytes and the connections of a server.
+type countedListener struct {
+	net.Listener
+	in, out atomic.Int64
+
+	mu      sync.Mutex
+	total   int
+	accepts []time.Time // since the last call of peak
+}
+
+func (l *countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.total++
+	if len(l.accepts) < acceptsMost {
+		l.accepts = append(l.accepts, time.Now())
+	}
+	return &countedConn{conn, l}, nil
+}
+
+// peak is how many connections were taken in all, and at most within a second since the last call.
+func (l *countedListener) peak() (total, most int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	first := 0
+	for last, at := range l.accepts {
+		for at.Sub(l.accepts[first]) >= time.Second {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	l.accepts = nil
+	return l.total, most
+}
+
+// countedConn is a connection of such a server.
+type countedConn struct {
+	net.Conn
+	listener *countedListener
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.listener.in.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.listener.out.Add(int64(n))
+	return n, err
+}
