--- a/internal/scale/configuration_internal_test.go
+++ b/internal/scale/configuration_internal_test.go
@@ -77,3 +77,27 @@
 	require.Positive(t, value["processor"])
 	require.Positive(t, value["processor of the busiest hub"])
 }
+
+// The verdict on the distribution is that of its run, at each of its limits.
+func TestTheVerdictOnTheDistribution(t *testing.T) {
+	none, err := page{}.distributed()
+	require.NoError(t, err)
+	require.Equal(t, notRun, none)
+	for _, test := range []struct {
+		inForce, processor, in, out float64
+		verdict                     string
+	}{
+		{8, 11_000, 29_000, 29_000, "carries, without the log"},
+		{8.1, 11_000, 29_000, 29_000, "carries not: in force at all"},
+		{8, 11_001, 29_000, 29_000, "carries not: processor"},
+		{8, 11_000, 29_001, 29_000, "carries not: bytes in"},
+		{8, 11_000, 29_000, 29_001, "carries not: bytes out"},
+	} {
+		point := Point{Sizes: Sizes{{axisBrokers, TargetBrokers}}}
+		point.add([]Reading{{"in force at all", "s", test.inForce}, {"processor", "µs", test.processor},
+			{"bytes in", "bytes", test.in}, {"bytes out", "bytes", test.out}})
+		verdict, err := page{[]*Record{{Experiment: "configuration", Points: []Point{point}}}}.distributed()
+		require.NoError(t, err)
+		require.Equal(t, test.verdict, verdict)
+	}
+}
--- a/internal/scale/page.go
+++ b/internal/scale/page.go
@@ -45,7 +45,7 @@
 		"connections": func() float64 { return exampleSockets * serverShare }, "line": func() float64 { return listLine },
 		"body": func() float64 { return httpwire.MaxBody }, "most": func() float64 { return membership.Most },
 		"slice3": func() []float64 { return partSizes }, "late": p.late, "hedged": p.hedged,
-		"listChanges": listChanges, "value": func() float64 { return assumedValue },
+		"distributed": p.distributed, "listChanges": listChanges, "value": func() float64 { return assumedValue },
 	}).Parse(pageText)
 	if err != nil {
 		return nil, err
@@ -328,6 +328,33 @@
 	return strings.TrimSuffix(b.String(), "\n")
 }
 
+// distributed is the verdict on the distribution of configuration at the target. Its limits are TargetInForce and, of a
+// follower, BudgetCore and BudgetBytes each way.
+func (p page) distributed() (string, error) {
+	verdict := "carries, without the log"
+	for _, limit := range []struct {
+		name string
+		most float64
+	}{
+		{"in force at all", TargetInForce},
+		{"processor", BudgetCore * 1e6},
+		{"bytes in", BudgetBytes},
+		{"bytes out", BudgetBytes},
+	} {
+		value, err := p.mean("configuration", limit.name, "brokers=590")
+		if err != nil {
+			return "", err
+		}
+		if math.IsNaN(value) {
+			return notRun, nil
+		}
+		if value > limit.most {
+			verdict = "carries not: " + limit.name
+		}
+	}
+	return verdict, nil
+}
+
 // miss is one row of what the target needs and what there is.
 type miss struct {
 	what, mechanism string
@@ -352,9 +379,15 @@
 	gossip := get(p.beyond("membership", "bytes sent by the busiest", axisBrokers, "", TargetBrokers))
 	back := get(p.beyond("return", "bytes it sends in the busiest second", axisBrokers, "", TargetBrokers))
 	cold := get(p.mean("cold", "largest sum of the limit", "brokers=590"))
+	inForce := get(p.mean("configuration", "in force at all", "brokers=590"))
+	follow := get(p.mean("configuration", "processor", "brokers=590")) / 1e6
 	rows := []miss{
-		{"configuration in force everywhere within 8 s", "distribution over a replicated log (`internal/consensus`, " +
-			"`internal/distribution`)", 1, 0, "mechanisms"},
+		{"configuration in force everywhere within 8 s, as found", "distribution over a replicated log " +
+			"(`internal/consensus`, `internal/distribution`)", 1, 0, "mechanisms"},
+		{"configuration now (off by default), until in force at all 590, without the log", "`internal/distribution`, " +
+			"`internal/confighub`, `internal/configclient`", inForce, TargetInForce, "s"},
+		{"configuration now, processor of a follower at ten times the rate of changes", "none needed", follow, BudgetCore,
+			"cores"},
 		{"connections of a broker, one to each record server, in the example's descriptors", "a larger limit, or subsetting",
 			TargetServers, exampleSockets * serverShare, "connections"},
 		{"a broker's service path, cores (one loop, one core)", "several workers (`internal/cores`), fewer frames a part",
