--- a/internal/configclient/configclient_test.go
+++ b/internal/configclient/configclient_test.go
@@ -62,15 +62,21 @@
 	}
 }
 
+// hold has Apply wait while it is held.
+type hold struct{ sync.Mutex }
+
 // broker is a hollow broker: a client that notes what it applies.
 type broker struct {
 	*configclient.Client
 	mu      sync.Mutex
 	applied []uint64
 	refuse  map[uint64]*configpb.Refusal
+	hold    hold
 }
 
 func (b *broker) apply(revision *configpb.Revision) *configpb.Refusal {
+	b.hold.Lock()
+	defer b.hold.Unlock()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if refusal := b.refuse[revision.GetNumber()]; refusal != nil {
@@ -184,3 +190,37 @@
 			fmt.Sprint(b.Status()))
 	})
 }
+
+func TestASlowApplicationHoldsUpNoStreamAndSkipsWhatCameInBetween(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	t.Run("", func(t *testing.T) {
+		s := startServer(t, "127.0.0.1:0")
+		b := startBroker(t, "b1", nil, s.address)
+		b.hold.Lock()
+		for number := uint64(1); number <= 5; number++ {
+			require.NoError(t, s.hub.SetNewest(revisionOf(number, fmt.Sprint(number)), time.Now()))
+			require.Eventually(t, func() bool { return b.Status().Newest == number }, 5*time.Second, 5*time.Millisecond)
+		}
+		updates := b.Status().Counts.Updates
+		require.Eventually(t, func() bool { return b.Status().Counts.Updates > updates }, 5*time.Second, 5*time.Millisecond)
+		require.Zero(t, b.Status().InForce)
+		b.hold.Unlock()
+		require.Eventually(t, func() bool { return b.Status().InForce == 5 }, 5*time.Second, 5*time.Millisecond)
+		require.Equal(t, []uint64{1, 5}, b.numbers())
+	})
+}
+
+func TestANewInstanceEndsTheFormerOnesStream(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	t.Run("", func(t *testing.T) {
+		s := startServer(t, "127.0.0.1:0")
+		require.NoError(t, s.hub.SetNewest(revisionOf(1, "one"), time.Now()))
+		old := startBroker(t, "b1", nil, s.address)
+		require.Eventually(t, func() bool { return old.Status().InForce == 1 }, 5*time.Second, 5*time.Millisecond)
+		time.Sleep(2 * time.Millisecond) // instances are told apart by the millisecond of their start
+		restarted := startBroker(t, "b1", nil, s.address)
+		require.Eventually(t, func() bool { return restarted.Status().InForce == 1 }, 5*time.Second, 5*time.Millisecond)
+		require.Eventually(t, func() bool { return old.Status().Counts.Ended > 0 }, 8*time.Second, 5*time.Millisecond)
+		require.Len(t, s.hub.Status().Brokers, 1)
+	})
+}
