--- a/internal/distribution/checkers_test.go
+++ b/internal/distribution/checkers_test.go
@@ -240,6 +240,25 @@
 	}
 }
 
+// following counts which brokers of a region follow no hub at this moment. A few may: each looks for another hub, for
+// some seconds, every few minutes.
+func (c *checkers) following(region int, without map[*simBroker]int) {
+	all, idle := 0, 0
+	for _, b := range c.sim.fleet {
+		if regionOfZone(b.zone) != region {
+			continue
+		}
+		all++
+		if b.follower.Status(c.sim.time()).Control == "" {
+			idle++
+			without[b]++
+		}
+	}
+	if idle > all/20+2 {
+		c.found("flapping", "%d of %d brokers follow no hub though one is in reach", idle, all)
+	}
+}
+
 // books checks, after a quiet while, that the hubs' books say what is so.
 func (c *checkers) books() {
 	s := c.sim
