--- a/internal/consensus/client_test.go
+++ b/internal/consensus/client_test.go
@@ -19,6 +19,7 @@
 	known     uint64 // newest number by its knowledge
 	leader    uint64 // where it sends publications
 	operation uint64 // count
+	busy      bool
 }
 
 const (
@@ -49,6 +50,7 @@
 		return
 	}
 	c.operation++
+	c.busy = true
 	a := &attempt{client: c, called: c.s.now}
 	if c.s.chance(0.5) {
 		a.asked.publish = true
@@ -107,6 +109,7 @@
 
 func (a *attempt) end() {
 	a.finished = true
+	a.client.busy = false
 	s := a.client.s
 	s.after(s.between(50*time.Millisecond, 700*time.Millisecond), a.client.next)
 }
