--- a/internal/consensus/checker_test.go
+++ b/internal/consensus/checker_test.go
@@ -68,7 +68,6 @@
 	leaders          map[uint64]uint64 // by term
 	acknowledgements []acknowledgement
 	history          []porcupine.Operation
-	staleness        time.Duration // largest Confirmed seen after the heal
 }
 
 func newChecker() *checker {
--- a/internal/consensus/message_test.go
+++ b/internal/consensus/message_test.go
@@ -41,6 +41,9 @@
 
 func TestMalformedMessagesAreRefused(t *testing.T) {
 	entryAt := func(index, term uint64) *raftpb.Entry { return &raftpb.Entry{Index: new(index), Term: new(term)} }
+	entryOf := func(kind raftpb.EntryType, data []byte) *raftpb.Entry {
+		return &raftpb.Entry{Index: new(uint64(2)), Term: new(uint64(5)), Type: kind.Enum(), Data: data}
+	}
 	appending := func(entries ...*raftpb.Entry) *raftpb.Message {
 		return addressed(raftpb.MsgApp, 5, func(m *raftpb.Message) {
 			m.Index, m.LogTerm, m.Entries = new(uint64(1)), new(uint64(1)), entries
@@ -68,10 +71,10 @@
 		"gap":              appending(entryAt(3, 5)),
 		"future entry":     appending(entryAt(2, 6)),
 		"falling terms":    appending(entryAt(2, 5), entryAt(3, 4)),
-		"old change":       appending(&raftpb.Entry{Index: new(uint64(2)), Term: new(uint64(5)), Type: raftpb.EntryConfChange.Enum()}),
-		"undecoded change": appending(&raftpb.Entry{Index: new(uint64(2)), Term: new(uint64(5)), Type: raftpb.EntryConfChangeV2.Enum(), Data: []byte{0xff}}),
-		"removal":          appending(&raftpb.Entry{Index: new(uint64(2)), Term: new(uint64(5)), Type: raftpb.EntryConfChangeV2.Enum(), Data: removal}),
-		"huge entry":       appending(&raftpb.Entry{Index: new(uint64(2)), Term: new(uint64(5)), Data: make([]byte, revision.MaxCommandBytes+1)}),
+		"old change":       appending(entryOf(raftpb.EntryConfChange, nil)),
+		"undecoded change": appending(entryOf(raftpb.EntryConfChangeV2, []byte{0xff})),
+		"removal":          appending(entryOf(raftpb.EntryConfChangeV2, removal)),
+		"huge entry":       appending(entryOf(raftpb.EntryNormal, make([]byte, revision.MaxCommandBytes+1))),
 		"no snapshot":      addressed(raftpb.MsgSnap, 5, nil),
 		"foreign snapshot": addressed(raftpb.MsgSnap, 5, func(m *raftpb.Message) {
 			m.Snapshot = StartSnapshot(testVoters, testSpares)
@@ -85,7 +88,8 @@
 			m.Snapshot.Metadata.Index = new(uint64(7))
 		}),
 	} {
-		node, err := New(Options{ID: 2, Members: testMembers}, newMemoryDisk(StartSnapshot(testVoters, testSpares), noFault), epoch)
+		storage := newMemoryDisk(StartSnapshot(testVoters, testSpares), noFault)
+		node, err := New(Options{ID: 2, Members: testMembers}, storage, epoch)
 		require.NoError(t, err)
 		require.ErrorIs(t, node.Step(message), ErrMessage, name)
 		require.NoError(t, node.Err(), name)
--- a/internal/consensus/proof_test.go
+++ b/internal/consensus/proof_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"flag"
+	"fmt"
+	"path/filepath"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"mothrouter/internal/raftlog"
 )
 
 var (
@@ -35,6 +39,41 @@
 	}
 }
 
+// fileDisk is the real storage.
+type fileDisk struct {
+	*raftlog.Log
+	path    string
+	options raftlog.Options
+}
+
+func (d *fileDisk) Reopen() (err error) {
+	must(d.Close())
+	d.Log, err = raftlog.Open(d.path, d.options)
+	return err
+}
+
+// TestSimulationOnFiles plays a seed on the real storage.
+func TestSimulationOnFiles(t *testing.T) {
+	var opened []*fileDisk
+	s := simulate(*firstSeed, noFault, func(id uint64) disk {
+		d := &fileDisk{
+			path:    filepath.Join(t.TempDir(), fmt.Sprint(id)),
+			options: raftlog.Options{Identity: raftlog.Identity{Fleet: 1, Node: id}},
+		}
+		var err error
+		d.Log, err = raftlog.Create(d.path, d.options, StartSnapshot(testVoters, testSpares))
+		require.NoError(t, err)
+		opened = append(opened, d)
+		return d
+	})
+	require.Empty(t, s.checker.violations)
+	require.Greater(t, s.stats.acknowledged, 5)
+	for _, d := range opened {
+		require.NoError(t, d.Reopen(), "what is on the disk is whole")
+		require.NoError(t, d.Close())
+	}
+}
+
 func (s *simulationStats) add(other simulationStats) {
 	s.crashes += other.crashes
 	s.pauses += other.pauses
--- a/internal/raftlog/raftlog_test.go
+++ b/internal/raftlog/raftlog_test.go
@@ -159,10 +159,11 @@
 func TestWritesThatDoNotFitAreRefusedAndChangeNothing(t *testing.T) {
 	log, path := create(t)
 	require.NoError(t, log.Save(hardState(3, 2, 4), entries(2, 9, 3), nil))
+	gapWithin := []*raftpb.Entry{entry(10, 3, ""), entry(12, 3, "")}
 	for name, write := range map[string]func() error{
 		"gap":                    func() error { return log.Save(nil, entries(11, 12, 3), nil) },
 		"compacted entry":        func() error { return log.Save(nil, entries(1, 2, 3), nil) },
-		"gap within":             func() error { return log.Save(nil, []*raftpb.Entry{entry(10, 3, ""), entry(12, 3, "")}, nil) },
+		"gap within":             func() error { return log.Save(nil, gapWithin, nil) },
 		"entry of a later term":  func() error { return log.Save(nil, entries(10, 10, 4), nil) },
 		"entry of an early term": func() error { return log.Save(nil, entries(10, 10, 2), nil) },
 		"committed entry lost":   func() error { return log.Save(hardState(4, 0, 4), entries(4, 9, 4), nil) },
--- a/internal/revision/revision_test.go
+++ b/internal/revision/revision_test.go
@@ -205,6 +205,9 @@
 	request := func(id, number uint64) *revisionpb.Request {
 		return &revisionpb.Request{Request: id, Number: number}
 	}
+	with := func(requests ...*revisionpb.Request) *revisionpb.State {
+		return &revisionpb.State{Newest: 1, History: []*configpb.Revision{revision(1, "a")}, Requests: requests}
+	}
 	spoilt := revision(1, "a")
 	spoilt.Checksum++
 	for name, state := range map[string]*revisionpb.State{
@@ -215,9 +218,9 @@
 		"checksum":          {Newest: 1, History: []*configpb.Revision{spoilt}},
 		"empty document":    {Newest: 1, History: []*configpb.Revision{revision(1, "")}},
 		"oversized":         {Newest: 1, History: []*configpb.Revision{revision(1, string(make([]byte, 1<<17)))}},
-		"request twice":     {Newest: 1, History: []*configpb.Revision{revision(1, "a")}, Requests: []*revisionpb.Request{request(5, 1), request(5, 1)}},
-		"request of future": {Newest: 1, History: []*configpb.Revision{revision(1, "a")}, Requests: []*revisionpb.Request{request(5, 2)}},
-		"request of none":   {Newest: 1, History: []*configpb.Revision{revision(1, "a")}, Requests: []*revisionpb.Request{request(0, 1)}},
+		"request twice":     with(request(5, 1), request(5, 1)),
+		"request of future": with(request(5, 2)),
+		"request of none":   with(request(0, 1)),
 	} {
 		_, err := Restore(sealed(state))
 		require.ErrorIs(t, err, ErrCorrupt, name)
