--- a/internal/consensus/members_test.go
+++ b/internal/consensus/members_test.go
@@ -275,3 +275,34 @@
 	require.ErrorIs(t, g.nodes[lost].Err(), ErrLostLog)
 	require.Nil(t, g.nodes[lost].Ready())
 }
+
+// TestAnswerToAnEarlierRunConfirmsNothing keeps back the answer to a read until its member has started anew and asks
+// again: that answer is older than the new question.
+func TestAnswerToAnEarlierRunConfirmsNothing(t *testing.T) {
+	g := newGroup(t)
+	g.run(5 * time.Second)
+	follower := g.otherVoter()
+	var kept []*raftpb.Message
+	g.lose = func(message *raftpb.Message) bool {
+		answer := message.GetTo() == follower && message.GetType() == raftpb.MsgReadIndexResp
+		if answer {
+			kept = append(kept, message)
+		}
+		return answer
+	}
+	g.start(follower)
+	g.run(5 * time.Second)
+	require.NotEmpty(t, kept)
+	g.start(follower)
+	g.run(5 * time.Second)
+	require.NotEmpty(t, g.nodes[follower].reads.rounds, "it has asked again")
+	old := kept[:1]
+	for _, message := range old {
+		require.NoError(t, g.nodes[follower].Step(message))
+	}
+	g.settle()
+	require.Equal(t, Unconfirmed, g.nodes[follower].Confirmed(g.now))
+	require.NoError(t, g.nodes[follower].Step(kept[len(kept)-1]))
+	g.settle()
+	require.Less(t, g.nodes[follower].Confirmed(g.now), time.Second, "the answer to its own last question does")
+}
