--- /dev/null
+++ b/cmd/mothrouter/followed_test.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mothrouter/internal/assembly"
+	"mothrouter/internal/broker"
+	"mothrouter/internal/config"
+	"mothrouter/internal/configpb"
+	"mothrouter/internal/decision"
+)
+
+const startFile = `{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":{"peersTotal":1,
+"classes":[{"name":"c","deadlineS":2,"objectiveS":1},{"name":"d","deadlineS":3}],"familyInfo":{"cells":1}}}`
+
+// assembled is a process that is put together, not started.
+func assembled(t *testing.T, files files) *process {
+	path := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(path, []byte(startFile), 0o600))
+	cfg, err := config.Load(func(key string) string { return map[string]string{"PROXY_CONFIG": path}[key] })
+	require.NoError(t, err)
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	p := &process{files: files, started: time.Now(), parts: &assembly.Assembly{Log: log}, cfg: cfg, workers: 1, log: log}
+	var cancel context.CancelFunc
+	p.ctx, cancel = context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	require.NoError(t, p.assemble())
+	return p
+}
+
+// configured is a core that keeps the changes it is handed.
+type configured struct {
+	core
+	changes []broker.Change
+	err     error
+}
+
+func (c *configured) Configure(change broker.Change) error {
+	if c.err == nil {
+		c.changes = append(c.changes, change)
+	}
+	return c.err
+}
+
+// Without the flag there is no client of control machines, and so nobody who could have the core tell its Decider of
+// changed classes. With it there is one.
+func TestWithoutTheFlagNothingIsConfigured(t *testing.T) {
+	require.Nil(t, assembled(t, files{}).revisions)
+	p := assembled(t, files{configuration: "../../deploy/configuration.toml"})
+	require.NotNil(t, p.revisions)
+	require.Equal(t, 3*time.Second, p.cfg.Longest())
+}
+
+// A revision is applied whole or refused by its key, and then changes neither the core nor discovery.
+func TestApply(t *testing.T) {
+	p := assembled(t, files{})
+	start, err := p.cfg.Document()
+	require.NoError(t, err)
+	core, moves := &configured{}, []string(nil)
+	a := &applier{start: start, core: core, log: p.log,
+		followed: &followed{address: "127.0.0.1:2", log: p.log, move: func(to string) { moves = append(moves, to) }}}
+	settings := startFile[strings.Index(startFile, `"settings"`):]
+	apply := func(document string) *configpb.Refusal {
+		return a.apply(&configpb.Revision{Number: 7, Document: []byte(document)})
+	}
+	require.Nil(t, apply(`{"discovery":"127.0.0.1:3",`+strings.Replace(settings, `"deadlineS":2`, `"deadlineS":4`, 1)))
+	require.Equal(t, []string{"127.0.0.1:3"}, moves)
+	require.Len(t, core.changes, 1)
+	require.Equal(t, 4., core.changes[0].Classes[0].Deadline)
+	require.Equal(t, 2., p.cfg.Settings.Classes[0].Deadline, "the start's classes were written to")
+
+	long := `{"discovery":"127.0.0.1:4",` + strings.Replace(settings, `{"peersTotal"`, `{"`+strings.Repeat("é", 300)+`":1,"peersTotal"`, 1)
+	for key, document := range map[string]string{
+		"document":                             `{`,
+		"settings.peersTotal":                  `{"discovery":"127.0.0.1:4",` + strings.Replace(settings, `"peersTotal":1`, `"peersTotal":2`, 1),
+		"discovery":                            `{"discovery":"x",` + settings,
+		"settings.classes[1].deadlineS":        `{"discovery":"127.0.0.1:4",` + strings.Replace(settings, `"deadlineS":3`, `"deadlineS":0`, 1),
+		"settings." + strings.Repeat("é", 123): long,
+	} {
+		refused := apply(document)
+		require.Equal(t, []any{uint64(7), key}, []any{refused.GetNumber(), refused.GetKey()})
+		require.LessOrEqual(t, len(refused.GetKey()), keyMost)
+		require.NotEmpty(t, refused.GetReason())
+	}
+	core.err = broker.ErrEnded
+	require.Equal(t, "settings", apply(`{"discovery":"127.0.0.1:4",`+settings).GetKey())
+	require.Len(t, core.changes, 1)
+	require.Len(t, moves, 1)
+}
+
+// A process that ends plans by the longest deadline in force once revisions may change it, and by the file's where none
+// can or the loop has ended.
+func TestTheEndIsPlannedByTheLongestDeadlineInForce(t *testing.T) {
+	p := assembled(t, files{configuration: "../../deploy/configuration.toml"})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		p.core.Run(ctx)
+	}()
+	classes := append([]decision.Class(nil), p.cfg.Settings.Classes...)
+	classes[0].Deadline = 9
+	require.NoError(t, p.core.Configure(broker.Change{Classes: classes}))
+	require.Equal(t, 9*time.Second, p.longest())
+	classes[0].Deadline, classes[1].Deadline = 1, 1.5
+	require.NoError(t, p.core.Configure(broker.Change{Classes: classes}))
+	require.Equal(t, 1500*time.Millisecond, p.longest())
+	cancel()
+	<-ended
+	require.Equal(t, 3*time.Second, p.longest())
+	require.Equal(t, 3*time.Second, assembled(t, files{}).longest())
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -15,6 +15,7 @@
 	"mothrouter/internal/broker"
 	"mothrouter/internal/config"
 	"mothrouter/internal/decision"
+	"mothrouter/internal/distribution"
 	"mothrouter/internal/drain"
 )
 
@@ -287,3 +288,39 @@
 	require.NoError(t, err)
 	return c
 }
+
+func TestConfiguration(t *testing.T) {
+	machines, err := config.LoadConfiguration("../../deploy/configuration.toml", roomy(t))
+	require.NoError(t, err)
+	require.Equal(t, &config.Configuration{Name: "n3", Zone: "bern-1", Region: "bern",
+		Control: []distribution.Machine{{Address: "127.0.0.1:7950", Zone: "bern-1", Region: "bern"}}}, machines)
+	one := "[[control]]\naddress = \"127.0.0.1:%d\"\n"
+	many := ""
+	for i := range distribution.MaxMachines {
+		many += fmt.Sprintf(one, 1+i)
+	}
+	for text, want := range map[string]string{
+		``:                     "configuration.control: names 0",
+		`zone = "z"`:           "configuration.control: names 0",
+		many:                   "",
+		many + "[[control]]\n": "configuration.control: names 9",
+		"[[control]]\n":        "configuration.control[0].address: is missing",
+		many[:len(many)/8*2] + fmt.Sprintf(one, 1):             "configuration.control[2].address: 127.0.0.1:1 stands twice",
+		"speed = 1\n" + many:                                   "configuration.speed: is not known",
+		many + "weight = 1\n":                                  "configuration.control.weight: is not known",
+		"zone = 3\n" + many:                                    "configuration: ",
+		"zone = \"" + strings.Repeat("z", 129) + "\"\n" + many: "configuration.zone: ",
+		"name = \"\"\n" + many:                                 "configuration.name: ",
+	} {
+		path := filepath.Join(t.TempDir(), "configuration.toml")
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		_, err := config.LoadConfiguration(path, roomy(t))
+		if want == "" {
+			require.NoError(t, err)
+		} else {
+			require.ErrorContains(t, err, want)
+		}
+	}
+	_, err = config.LoadConfiguration(filepath.Join(t.TempDir(), "none"), roomy(t))
+	require.ErrorContains(t, err, "configuration: ")
+}
--- a/internal/cores/configure_test.go
+++ b/internal/cores/configure_test.go
@@ -241,6 +241,11 @@
 	require.NoError(t, r.Configure(broker.Change{Classes: classesOf(0.5), OpenCap: 7}))
 	require.True(t, r.open.Take(7))
 	require.Equal(t, 0.5, r.Longest().Seconds())
+	r.workers[0].dead.Store(false) // as for a worker that dies between the look at it and the post
+	require.NoError(t, r.Configure(broker.Change{Classes: classesOf(0.5), OpenCap: 9}))
+	require.False(t, r.open.Take(3))
+	require.True(t, r.open.Take(2))
+	r.workers[0].dead.Store(true)
 	r.workers[1].b.Tell(decision.Timer{Token: tokenDie})
 	require.Eventually(t, r.workers[1].dead.Load, 5*time.Second, time.Millisecond)
 	require.ErrorIs(t, r.Configure(broker.Change{Classes: classesOf(0.6), OpenCap: 8}), broker.ErrEnded)
