--- a/cmd/mothrouter/assemble.go
+++ b/cmd/mothrouter/assemble.go
@@ -37,7 +37,8 @@
 	}
 	p.makeCore(link)
 	p.watcher = &discovery.Watcher{
-		Addr: p.cfg.Discovery, Names: p.cfg.Names, Since: p.cfg.Version, Update: p.core.Update, Log: p.log, Waits: p.waits,
+		Addr: p.cfg.Discovery, Names: p.cfg.Names, Since: p.cfg.Version, Update: p.core.Update, Log: p.log,
+		Waits: p.waits,
 	}
 	p.followed = &followed{address: p.cfg.Discovery, move: p.watcher.Move, log: p.log}
 	return p.addConfiguration()
--- a/cmd/mothrouter/configuration.go
+++ b/cmd/mothrouter/configuration.go
@@ -35,8 +35,8 @@
 	}
 	applier := &applier{start: start, core: p.core, followed: p.followed, log: p.log}
 	p.revisions, err = configclient.New(configclient.Options{
-		Name: machines.Name, Started: p.started, Zone: machines.Zone, Region: machines.Region, Control: machines.Control,
-		Callers: p.callers, Seed: p.cfg.Seed, Log: p.log, Apply: applier.apply,
+		Name: machines.Name, Started: p.started, Zone: machines.Zone, Region: machines.Region,
+		Control: machines.Control, Callers: p.callers, Seed: p.cfg.Seed, Log: p.log, Apply: applier.apply,
 	})
 	if err != nil {
 		return err
--- a/cmd/mothrouter/configuration_test.go
+++ b/cmd/mothrouter/configuration_test.go
@@ -110,8 +110,8 @@
 	return false
 }
 
-// load has clients ask until stop is called, which returns the answers of those that were not served. Served is how many
-// were so far.
+// load has clients ask until stop is called, which returns the answers of those that were not served. Served is how
+// many were so far.
 func (o *operated) load(clients int) (served *atomic.Int64, stop func() (others []string)) {
 	var asking sync.WaitGroup
 	var mu sync.Mutex
@@ -161,8 +161,10 @@
 				before := served.Load()
 				require.Eventually(t, func() bool { return served.Load() >= before+10 }, patience, time.Millisecond)
 			}
-			refused := m.publish(t, o.documentOf(`"semantics":"single_shot"`, `"semantics":"free"`, `"openCap":400`, `"openCap":1`))
-			o.logs("a revision is refused", fmt.Sprintf(" number=%d ", refused), "settings.classes[1].semantics", "in_force=20")
+			refused := m.publish(t, o.documentOf(
+				`"semantics":"single_shot"`, `"semantics":"free"`, `"openCap":400`, `"openCap":1`))
+			o.logs("a revision is refused", fmt.Sprintf(" number=%d ", refused), "settings.classes[1].semantics",
+				"in_force=20")
 			require.Empty(t, stop())
 			require.GreaterOrEqual(t, served.Load(), int64(200))
 			require.Contains(t, o.dial().asks(query("held-by-the-refused-cap")), " 200 ")
@@ -220,8 +222,9 @@
 	m.publish(t, strings.Replace(start, first, second, 1)+" ")
 	o.logs("discovery moves", third, second, "revision")
 	require.NoError(t, o.cmd.Process.Signal(syscall.SIGHUP))
-	require.Eventually(t, func() bool { return strings.Count(o.log.String(), "configuration read again") == 3 }, patience,
-		20*time.Millisecond)
+	require.Eventually(t, func() bool {
+		return strings.Count(o.log.String(), "configuration read again") == 3
+	}, patience, 20*time.Millisecond)
 	require.Equal(t, 3, strings.Count(o.log.String(), "discovery moves"), "%s", &o.log)
 }
 
@@ -235,7 +238,8 @@
 	} {
 		p := newPlayer(t)
 		p.config = filepath.Join(t.TempDir(), "config.json")
-		config := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:1","settings":%s}`, fmt.Sprintf(profile, 15., 400))
+		config := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:1","settings":%s}`,
+			fmt.Sprintf(profile, 15., 400))
 		require.NoError(t, os.WriteFile(p.config, []byte(config), 0o600))
 		path := filepath.Join(t.TempDir(), "configuration.toml")
 		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
--- a/internal/broker/configure.go
+++ b/internal/broker/configure.go
@@ -42,17 +42,17 @@
 }
 
 // Configure takes a change into force, and returns once it is. It is applied whole at one point of the loop: a query
-// that the loop takes before is held, guarded, answered and refused under the settings before, to its end; one that it
-// takes after belongs to the new ones altogether. What is held beyond a smaller open cap stays held. After an error the
-// settings before hold. It returns ErrEnded if the loop has ended.
+// that the loop takes before is held, guarded, answered and refused under the settings before, to its end; one that
+// it takes after belongs to the new ones altogether. What is held beyond a smaller open cap stays held. After an
+// error the settings before hold. It returns ErrEnded if the loop has ended.
 func (b *Broker) Configure(c Change) error { return b.PostChange(c, func() {})() }
 
 // ErrEnded tells that a loop has ended, and takes nothing into force any more.
 var ErrEnded = errors.New("the loop has ended")
 
-// PostChange is Configure in two steps, for several loops: it does not wait, and the returned function does, once. Where
-// loops share an open count, applied is called by the loop at the point where the change is in force, so that whoever
-// owns the count can resize it there.
+// PostChange is Configure in two steps, for several loops: it does not wait, and the returned function does, once.
+// Where loops share an open count, applied is called by the loop at the point where the change is in force, so that
+// whoever owns the count can resize it there.
 func (b *Broker) PostChange(c Change, applied func()) (wait func() error) {
 	taken := make(chan error, 1)
 	b.post(func() {
--- a/internal/cores/configure.go
+++ b/internal/cores/configure.go
@@ -8,11 +8,12 @@
 	"mothrouter/internal/broker"
 )
 
-// Configure takes a change into force in all workers, and returns once it is. Each worker applies it whole at one point
-// of its loop, and the shared open cap is resized at that of the last of them. So for the short while in which the loops
-// come to it, queries of some workers are taken under the new classes and those of others under the old ones, all within
-// the old cap; no query is taken or ends under a mixture of classes. A worker that has died has no say. After an error
-// all workers have the settings before: what may change is the same for each, so one that refuses is not alone.
+// Configure takes a change into force in all workers, and returns once it is. Each worker applies it whole at one
+// point of its loop, and the shared open cap is resized at that of the last of them. So for the short while in which
+// the loops come to it, queries of some workers are taken under the new classes and those of others under the old
+// ones, all within the old cap; no query is taken or ends under a mixture of classes. A worker that has died has no
+// say. After an error all workers have the settings before: what may change is the same for each, so one that refuses
+// is not alone.
 func (g *Group) Configure(c broker.Change) error {
 	g.configuring.Lock()
 	defer g.configuring.Unlock()
