--- a/cmd/mothrouter/followed_test.go
+++ b/cmd/mothrouter/followed_test.go
@@ -29,7 +29,8 @@
 	cfg, err := config.Load(func(key string) string { return map[string]string{"PROXY_CONFIG": path}[key] })
 	require.NoError(t, err)
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	p := &process{files: files, started: time.Now(), parts: &assembly.Assembly{Log: log}, cfg: cfg, workers: 1, log: log}
+	p := &process{files: files, started: time.Now(), parts: &assembly.Assembly{Log: log}, cfg: cfg, workers: 1,
+		log: log}
 	var cancel context.CancelFunc
 	p.ctx, cancel = context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -78,12 +79,17 @@
 	require.Equal(t, 4., core.changes[0].Classes[0].Deadline)
 	require.Equal(t, 2., p.cfg.Settings.Classes[0].Deadline, "the start's classes were written to")
 
-	long := `{"discovery":"127.0.0.1:4",` + strings.Replace(settings, `{"peersTotal"`, `{"`+strings.Repeat("é", 300)+`":1,"peersTotal"`, 1)
+	// with is a document whose settings have one text in place of another.
+	with := func(old, new string) string {
+		require.Contains(t, settings, old)
+		return `{"discovery":"127.0.0.1:4",` + strings.Replace(settings, old, new, 1)
+	}
+	long := with(`{"peersTotal"`, `{"`+strings.Repeat("é", 300)+`":1,"peersTotal"`)
 	for key, document := range map[string]string{
 		"document":                             `{`,
-		"settings.peersTotal":                  `{"discovery":"127.0.0.1:4",` + strings.Replace(settings, `"peersTotal":1`, `"peersTotal":2`, 1),
+		"settings.peersTotal":                  with(`"peersTotal":1`, `"peersTotal":2`),
 		"discovery":                            `{"discovery":"x",` + settings,
-		"settings.classes[1].deadlineS":        `{"discovery":"127.0.0.1:4",` + strings.Replace(settings, `"deadlineS":3`, `"deadlineS":0`, 1),
+		"settings.classes[1].deadlineS":        with(`"deadlineS":3`, `"deadlineS":0`),
 		"settings." + strings.Repeat("é", 123): long,
 	} {
 		refused := apply(document)
--- a/internal/broker/configure_test.go
+++ b/internal/broker/configure_test.go
@@ -25,11 +25,13 @@
 func classes(deadline float64) []decision.Class {
 	return []decision.Class{
 		{Aim: deadline / 2, Deadline: deadline, Worth: 1, Need: 1, Floor: 1},
-		{Aim: deadline / 2, Deadline: deadline, Worth: 1, Need: 1, Floor: 0.5, Repeat: decision.RepeatKeyed, RepeatWindow: 0.2},
+		{Aim: deadline / 2, Deadline: deadline, Worth: 1, Need: 1, Floor: 0.5,
+			Repeat: decision.RepeatKeyed, RepeatWindow: 0.2},
 	}
 }
 
-// gate is a Decider that has its loop wait in each batch with a Timer until the test lets it go on, and keeps all events.
+// gate is a Decider that has its loop wait in each batch with a Timer until the test lets it go on, and keeps all
+// events.
 type gate struct {
 	batches chan []decision.Event
 	hold    chan struct{}
@@ -55,9 +57,11 @@
 }
 
 func newHeld(t *testing.T) *held {
-	h := &held{T: t, gate: &gate{make(chan []decision.Event, 1000), make(chan struct{}), make(chan []decision.Action, 10)},
+	h := &held{T: t,
+		gate: &gate{make(chan []decision.Event, 1000), make(chan struct{}), make(chan []decision.Action, 10)},
 		link: link{make(chan *broker.Call, 10), make(chan *broker.Call, 10)}}
-	set := decision.Settings{Cells: 1, Reach: 1, MaxAttempts: 3, RetryAfter: true, MaxWait: 0.5, Classes: classes(oldDeadline)}
+	set := decision.Settings{Cells: 1, Reach: 1, MaxAttempts: 3, RetryAfter: true, MaxWait: 0.5,
+		Classes: classes(oldDeadline)}
 	h.start = set.Classes
 	h.b = broker.New(broker.Options{Settings: set, OpenCap: oldCap}, h.gate, h.link)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -119,8 +123,8 @@
 func (h *held) post(c broker.Change) func() error { return h.b.PostChange(c, func() {}) }
 
 // Queries, changes and more queries that come to the loop at once: each query is taken whole under the settings before
-// or those after, by its place in the order, with its deadline, the cap and what the Decider hears; and the Decider hears
-// of the change between them.
+// or those after, by its place in the order, with its deadline, the cap and what the Decider hears; and the Decider
+// hears of the change between them.
 func TestAChangeComesIntoForceAtOnePoint(t *testing.T) {
 	h := newHeld(t)
 	goOn := h.stop()
@@ -192,7 +196,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			h := newHeld(t)
 			require.NoError(t, h.b.Configure(broker.Change{Classes: classes(c.old), OpenCap: 20}))
-			h.b.Update(broker.List{Mode: decision.ListFull, Servers: []broker.ListEntry{{Addr: "s0", Server: decision.Server{ID: "s0"}}}})
+			h.b.Update(broker.List{Mode: decision.ListFull, Servers: []broker.ListEntry{
+				{Addr: "s0", Server: decision.Server{ID: "s0"}}}})
 			start := time.Now()
 			silent := h.query("silent", 0, 1)
 			half := h.query("half", 1, 2)
--- a/internal/config/document_test.go
+++ b/internal/config/document_test.go
@@ -87,7 +87,7 @@
 		{`"127.0.0.1:8500"`, `"127.0.0.1:1","DISCOVERY":"127.0.0.1:2"`, "DISCOVERY"},
 		{`"settings":{`, `"odd":{`, "odd"},
 		{`{"discovery":`, `{"":1,"discovery":`, "document"},
-		{`{"discovery":"127.0.0.1:8500","settings"`, `{"discovery":"127.0.0.1:8500","settings":0,"settings"`, "settings"},
+		{`"127.0.0.1:8500","settings"`, `"127.0.0.1:8500","settings":0,"settings"`, "settings"},
 		{`"openCap":9`, `"openCap":9,"openCap":9`, "settings.caps.openCap"},
 		{`"openCap":9`, `"openCap":9,"opencap":8`, "settings.caps.opencap"},
 		{`"openCap":9`, `"openCap":9,"open\u0043ap":8`, "settings.caps.openCap"},
@@ -119,7 +119,8 @@
 		{`"127.0.0.1:8500"`, `"127.0.0.1:8501"`, ""},
 		{`"openCap":9`, `"openCap":0`, ""},
 		{`"openCap":9,`, ``, ""},
-		{`"deadlineS":2,"objectiveS":1,"worth":1,"lateWorth":0.5`, `"deadlineS":4,"objectiveS":3,"worth":2,"lateWorth":0`, ""},
+		{`"deadlineS":2,"objectiveS":1,"worth":1,"lateWorth":0.5`,
+			`"deadlineS":4,"objectiveS":3,"worth":2,"lateWorth":0`, ""},
 		{`"deadlineS":2,"objectiveS":1,"worth":1,"lateWorth":0.5`, `"deadlineS":4`, ""},
 		{`"deadlineS":3,"objectiveS":1`, `"deadlineS":3,"objectiveS":1,"worth":7,"lateWorth":0.1`, ""},
 		{`"windowS":2`, `"windowS":2.0`, ""},
@@ -186,8 +187,10 @@
 // loads is taken as a document.
 func FuzzDocument(f *testing.F) {
 	f.Add([]byte(document))
-	for _, r := range [][2]string{{`"deadlineS":3`, `"deadlineS":-3`}, {`"openCap":9`, `"openCap":null`}, {`"c"`, `"d"`},
-		{`"zones"`, `"zones":[],"zones"`}, {`"cells":4`, `"cells":4.5`}, {`"site":{`, `"report":{"how":"pull"},"site":{`},
+	for _, r := range [][2]string{
+		{`"deadlineS":3`, `"deadlineS":-3`}, {`"openCap":9`, `"openCap":null`}, {`"c"`, `"d"`},
+		{`"zones"`, `"zones":[],"zones"`}, {`"cells":4`, `"cells":4.5`},
+		{`"site":{`, `"report":{"how":"pull"},"site":{`},
 		{`"sendCap":4`, `"sendCap":4,"secondCopies":true`}, {`127.0.0.1:8500`, `\ud800:1`}} {
 		f.Add([]byte(strings.Replace(document, r[0], r[1], 1)))
 	}
--- a/internal/cores/configure_test.go
+++ b/internal/cores/configure_test.go
@@ -17,8 +17,8 @@
 	"mothrouter/internal/decision"
 )
 
-// recorder is a worker's Decider: it keeps what it hears of classes and queries, refuses each query at once unless it is
-// silent, and has its loop wait, or die, where a test says so by a Timer.
+// recorder is a worker's Decider: it keeps what it hears of classes and queries, refuses each query at once unless it
+// is silent, and has its loop wait, or die, where a test says so by a Timer.
 type recorder struct {
 	mu     sync.Mutex
 	heard  []decision.Event // Configured and Query
@@ -194,7 +194,8 @@
 			done := make(chan error, 1)
 			behind := r.workers[0].b.Behind()
 			go func() { done <- r.Configure(broker.Change{Classes: classesOf(0.3), OpenCap: c.cap}) }()
-			require.Eventually(t, func() bool { return r.workers[0].b.Behind() > behind }, 5*time.Second, time.Millisecond)
+			require.Eventually(t, func() bool { return r.workers[0].b.Behind() > behind }, 5*time.Second,
+				time.Millisecond)
 			late := r.query(c.parts)
 			r.deciders[0].goOn()
 			require.NoError(t, <-done)
--- a/internal/decision/configured_test.go
+++ b/internal/decision/configured_test.go
@@ -39,7 +39,8 @@
 			classes := slices.Clone(s.Classes)
 			classes[0].Aim = c.new
 			after, events := r.query(0, 1)
-			require.Len(t, sends(r.handle(append([]decision.Event{decision.Configured{Classes: classes}}, events...)...)), 1)
+			events = append([]decision.Event{decision.Configured{Classes: classes}}, events...)
+			require.Len(t, sends(r.handle(events...)), 1)
 
 			first, second := before, after
 			if c.new < c.old {
