--- a/cmd/mothrouter/config_command.go
+++ b/cmd/mothrouter/config_command.go
@@ -36,7 +36,8 @@
 	}
 	addresses := addressesFlag(c)
 	expect := c.Flags().Uint64("expect", 0, "refuse unless the newest revision is this `number`; 0: whichever it is")
-	request := c.Flags().String("request", "", "`id` of an earlier try, as it was printed; the same document may be tried again")
+	request := c.Flags().String("request", "",
+		"`id` of an earlier try, as it was printed; the same document may be tried again")
 	timeout := c.Flags().Duration("timeout", 30*time.Second, "give up after so long")
 	c.RunE = func(c *cobra.Command, args []string) error {
 		document, err := os.ReadFile(args[0])
--- a/internal/controlclient/controlclient.go
+++ b/internal/controlclient/controlclient.go
@@ -22,7 +22,7 @@
 	// MaxStatusBytes is the largest status that is read: 3,000 brokers of at most 2 KiB each, and their refusals.
 	MaxStatusBytes = 8 << 20
 
-	connectTimeout = 2 * time.Second
+	connectTimeout = time.Second     // three round trips between regions, many times over
 	callTimeout    = 5 * time.Second // of one publication to one machine, before the next machine is tried
 
 	waitFirst = 100 * time.Millisecond // between two rounds over all machines
--- a/internal/controlrig/check.go
+++ b/internal/controlrig/check.go
@@ -141,7 +141,8 @@
 	return faults
 }
 
-// CheckNothingLost: at the end each machine holds all revisions without gaps, up to the newest that anybody was told of.
+// CheckNothingLost: at the end each machine holds all revisions without gaps, up to the newest that anybody was told
+// of.
 func (h *History) CheckNothingLost() (faults []error) {
 	newest := uint64(0)
 	for _, c := range h.contents() {
--- a/internal/controlserver/publish.go
+++ b/internal/controlserver/publish.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/genproto/googleapis/rpc/errdetails"
@@ -24,6 +25,9 @@
 	// publishTimeout bounds a publication with all that it waits for.
 	publishTimeout = consensus.ReadTimeout + consensus.ProposalTimeout
 
+	// leaderCheck is how often a machine that has sent a publication on looks whether the leader still leads.
+	leaderCheck = 200 * time.Millisecond
+
 	// forwardedKey marks a publication that another control machine has sent on: it is not sent on again.
 	forwardedKey = "mothrouter-forwarded"
 
@@ -33,6 +37,9 @@
 	keyExpected = "expected"
 )
 
+// errLeaderChanged is why a publication that was sent on to a leader is given up.
+var errLeaderChanged = errors.New("its leader was lost on the way")
+
 // Validate checks a document whole and compares it with the newest revision's, nil before the first. It returns why it
 // is refused, by the key at fault, or nil.
 type Validate func(document, newest []byte) *configpb.Refusal
@@ -212,7 +219,33 @@
 	if sent, _ := metadata.FromIncomingContext(ctx); len(sent.Get(forwardedKey)) > 0 {
 		return nil, notTaken("the leader is %s", p.describe(leader))
 	}
-	return p.forward(ctx, leader, request)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var changed atomic.Bool
+	go func() {
+		changed.Store(p.waitForChange(ctx, leader))
+		cancel()
+	}()
+	response, err := p.forward(ctx, leader, request)
+	if err != nil && changed.Load() {
+		return nil, unknown(errLeaderChanged)
+	}
+	return response, err
+}
+
+// waitForChange returns true once this machine no longer takes a member for the leader, or false once the context ends:
+// a leader that is lost would let its publishers wait.
+func (p *publisher) waitForChange(ctx context.Context, leader uint64) bool {
+	for {
+		select {
+		case <-time.After(leaderCheck):
+		case <-ctx.Done():
+			return false
+		}
+		if now, err := p.leader(ctx); err != nil || now != leader {
+			return err == nil
+		}
+	}
 }
 
 // forward sends a publication to the leader over the connection to it that is open.
