--- a/internal/controlrig/rig_test.go
+++ b/internal/controlrig/rig_test.go
@@ -259,8 +259,8 @@
 	}, patience, 50*time.Millisecond, "%s is voter: not %v", name, voter)
 }
 
-// A machine that has lost its disk comes back with a new log as docs/configuration.md tells: once the spare has replaced
-// it by the word of each other machine, and the leader was restarted. Before that it is stopped.
+// A machine that has lost its disk comes back with a new log as docs/configuration.md tells: once the spare has
+// replaced it by the word of each other machine, and the leader was restarted. Before that it is stopped.
 func TestLostDiskComesBackAsTheSpare(t *testing.T) {
 	rig := start(t, controlrig.Options{PromoteAfter: 5 * time.Second, Seed: *seed})
 	stop := publishing(t, rig, rig.Addresses())
--- a/internal/controlserver/replica_test.go
+++ b/internal/controlserver/replica_test.go
@@ -1,12 +1,15 @@
 package controlserver
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"mothrouter/internal/confighub"
 	"mothrouter/internal/configpb"
@@ -56,3 +59,31 @@
 	require.Equal(t, uint64(1), node.Machine().Number())
 	require.Error(t, publish(3), "a replica that has stopped takes nothing")
 }
+
+// A publication that was sent on to a leader is given up once this machine knows another one.
+func TestPublicationSentOnIsGivenUpWithItsLeader(t *testing.T) {
+	log, err := raftlog.Create(t.TempDir()+"/"+LogName, raftlog.Options{Identity: raftlog.Identity{Fleet: 1, Node: 1}},
+		consensus.StartSnapshot([]uint64{1}, nil))
+	require.NoError(t, err)
+	defer log.Close()
+	node, err := consensus.New(consensus.Options{ID: 1, Members: []uint64{1}}, log, time.Now())
+	require.NoError(t, err)
+	r := newReplica(node, log, confighub.New(quiet()), quiet())
+	r.nameOf = func(uint64) string { return "x" }
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- r.run(ctx) }()
+	p := newPublisher(1, r, refuseBad)
+	p.forward = func(ctx context.Context, _ uint64, _ *configpb.PublishRequest) (*configpb.PublishResponse, error) {
+		<-ctx.Done() // a leader that no longer answers
+		return nil, ctx.Err()
+	}
+	const lostLeader = 2
+	began := time.Now()
+	_, err = p.sendOn(t.Context(), lostLeader, &configpb.PublishRequest{Request: 1, Document: []byte("one")})
+	require.Equal(t, codes.DeadlineExceeded, status.Code(err))
+	require.ErrorContains(t, err, errLeaderChanged.Error())
+	require.Less(t, time.Since(began), patience)
+	cancel()
+	require.NoError(t, <-ended)
+}
