--- /dev/null
+++ b/internal/controlrig/broker_test.go
@@ -0,0 +1,85 @@
+package controlrig_test
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mothrouter/internal/configstatus"
+	"mothrouter/internal/controlclient"
+	"mothrouter/internal/controlrig"
+)
+
+// startBroker starts a process of a broker that follows all machines.
+func startBroker(t *testing.T, rig *controlrig.Rig, name string) {
+	folder := t.TempDir()
+	var control strings.Builder
+	fmt.Fprintf(&control, "zone = \"north\"\nregion = \"north\"\n")
+	for _, address := range rig.Addresses() {
+		fmt.Fprintf(&control, "\n[[control]]\naddress = %q\nzone = \"north\"\nregion = \"north\"\n", address)
+	}
+	settings := strings.TrimSuffix(strings.SplitN(commandDocument, `"settings":`, 2)[1], "}")
+	config := fmt.Sprintf(`{"name":%q,"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"7",`+
+		`"limits":{"memory_mb":64,"sockets":256},"known":{"version":1,"full":true,"servers":[{"id":"s",`+
+		`"addr":"127.0.0.1:2","cell":0,"state":"active"}]},"settings":%s}`, name, settings)
+	files := map[string]string{"broker.json": config, "configuration.toml": control.String()}
+	for file, text := range files {
+		require.NoError(t, os.WriteFile(filepath.Join(folder, file), []byte(text), 0o600))
+	}
+	cmd := exec.Command(program, "-configuration", filepath.Join(folder, "configuration.toml"))
+	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+filepath.Join(folder, "broker.json"))
+	log, err := os.Create(filepath.Join(folder, "log"))
+	require.NoError(t, err)
+	cmd.Stderr = log
+	require.NoError(t, cmd.Start())
+	t.Cleanup(func() {
+		cmd.Process.Kill()
+		cmd.Wait()
+		log.Close()
+		if text, err := os.ReadFile(log.Name()); t.Failed() && err == nil {
+			t.Logf("%s:\n%s", name, text)
+		}
+	})
+}
+
+// status is the merged status of all machines.
+func status(t *testing.T, rig *controlrig.Rig) configstatus.View {
+	var answers []configstatus.Answer
+	for _, address := range rig.Addresses() {
+		got, err := controlclient.Status(t.Context(), address)
+		answers = append(answers, configstatus.Answer{Address: address, Status: got, Err: err})
+	}
+	return configstatus.Merge(answers)
+}
+
+// Real brokers have each revision in force in time, also while the leader is killed.
+func TestBrokersFollow(t *testing.T) {
+	const brokers = 3
+	rig := start(t, controlrig.Options{PromoteAfter: time.Minute, Seed: *seed})
+	for i := range brokers {
+		startBroker(t, rig, fmt.Sprint("broker-", i))
+	}
+	all := len(controlrig.Regions)*followers + brokers
+	require.Eventually(t, func() bool { return status(t, rig).Connected == all }, patience, 50*time.Millisecond)
+	for round := range 3 {
+		number, err := rig.Publish(t.Context(), rig.Addresses())
+		require.NoError(t, err)
+		require.Eventually(t, func() bool {
+			view := status(t, rig)
+			return view.Newest == number && view.Connected == all && len(view.Behind) == 0 && len(view.Refusals) == 0
+		}, inForceWithin, 50*time.Millisecond, "revision %d", number)
+		if round == 0 {
+			leader := waitForLeader(t, rig)
+			leader.Kill()
+			waitForLeader(t, rig)
+			require.NoError(t, leader.Start())
+		}
+	}
+	finish(t, rig)
+}
