--- a/cmd/mothrouter/control.go
+++ b/cmd/mothrouter/control.go
@@ -82,5 +82,8 @@
 	if err != nil { // taken by another release of this program: brokers compare with what they serve by
 		return nil
 	}
-	return refusal(0, next.Changes(before))
+	if err := next.Changes(before); err != nil {
+		return refusal(0, err)
+	}
+	return nil
 }
