--- a/internal/decision/policy.go
+++ b/internal/decision/policy.go
@@ -35,11 +35,11 @@
 	byQuery map[RequestID]*query // looked up, never iterated
 	open    []*query
 
-	probeAt, rebuildAt         float64            // next round of probes, next rebuild
-	watchAt                    float64            // when to ask for the list again; +Inf: subscribed or not needed
-	watchFails, turn, numbered int                // numbered: servers so far
-	breakers                   map[uint64]float64 // by fingerprint, queries that broke their servers: until when
-	wake, armed                float64            // earliest wish of this batch, earliest timer out
+	probeAt, rebuildAt float64 // next round of probes, next rebuild
+	watchAt            float64 // when to ask for the list again; +Inf: subscribed or not needed
+	watchFails, turn   int
+	breakers           map[uint64]float64 // by fingerprint, queries that broke their servers: until when
+	wake, armed        float64            // earliest wish of this batch, earliest timer out
 
 	latency                []recent.Ring           // latest latencies by class
 	cautiousUntil          []float64               // by class: until then one part goes ahead
@@ -51,8 +51,8 @@
 	meanFitness            float64                 // what an unreported server counts as
 	fleetBad               float64                 // median share of failed attempts, 0 if negligible
 	news                   *lazyheap.Heap[*server] // those that may be probed; the first has the oldest news
-	warm                   float64                 // warm servers, at least a third of all
-	memory                 float64                 // seconds in which a server's own pace is half forgotten
+	numbered               int                     // servers numbered so far
+	warm, memory           float64                 // warm servers, a third at least; half-life of a pace, seconds
 	worthAsked, partsAsked float64                 // of all queries so far, and the parts that they needed
 	pace                   float64                 // averaged latency of a part over the crowd it met
 	drawn, chances         float64                 // windows of cold servers: with a part for one, all
