--- a/internal/scale/fit.go
+++ b/internal/scale/fit.go
@@ -61,7 +61,7 @@
 	Rate float64 // for one unit of the form's basis; 0 where Form is Constant
 	// RateInterval is that of Rate; where Form is Constant, that of Base.
 	RateInterval Interval
-	AIC          float64 // corrected for few samples
+	AIC          float64 // Akaike's criterion
 }
 
 // At is the cost at a size.
@@ -73,7 +73,7 @@
 	ErrValue  = errors.New("scale: a fit needs positive, finite sizes and costs")
 )
 
-// Fit returns the slope whose form explains the samples best by the corrected Akaike criterion. Samples are weighted
+// Fit returns the slope whose form explains the samples best by Akaike's criterion. Samples are weighted
 // by the inverse square of their size's mean: costs spread in proportion to themselves. A slope that falls is never
 // chosen: costs that fall with a size are taken for constant.
 func Fit(samples []Sample) (Slope, error) {
@@ -143,10 +143,18 @@
 	return slope
 }
 
-// akaike is the corrected criterion of a least-squares fit.
+// correctFrom is how many samples the correction for few of them needs: with five of them, one at each size, it would
+// outweigh any residual and every cost would pass for constant.
+const correctFrom = 10
+
+// akaike is the criterion of a least-squares fit, corrected for few samples where there are correctFrom.
 func akaike(residual, n, parameters float64) float64 {
 	const exact = 1e-18 // of samples without any residual; their logarithm has to stay finite
-	return n*math.Log(max(residual, exact)/n) + 2*parameters + 2*parameters*(parameters+1)/max(n-parameters-1, 1)
+	criterion := n*math.Log(max(residual, exact)/n) + 2*parameters
+	if n >= correctFrom {
+		criterion += 2 * parameters * (parameters + 1) / (n - parameters - 1)
+	}
+	return criterion
 }
 
 // studentHalf is the half width of an interval in standard errors.
--- a/internal/scale/fit_test.go
+++ b/internal/scale/fit_test.go
@@ -44,6 +44,22 @@
 	}
 }
 
+// Runs that were played once have five samples.
+func TestFitOfSingleRepetitions(t *testing.T) {
+	var rising, level []scale.Sample
+	for i, x := range sizes {
+		noise := 1 + 0.02*float64(i%2)
+		rising = append(rising, scale.Sample{X: x, Y: (40 + 0.05*x) * noise})
+		level = append(level, scale.Sample{X: x, Y: 40 * noise})
+	}
+	slope, err := scale.Fit(rising)
+	require.NoError(t, err)
+	require.Equal(t, scale.Linear, slope.Form)
+	slope, err = scale.Fit(level)
+	require.NoError(t, err)
+	require.Equal(t, scale.Constant, slope.Form)
+}
+
 func TestFitTakesAFallingCostForConstant(t *testing.T) {
 	slope, err := scale.Fit(samplesOf(func(x float64) float64 { return 100 - x/100 }, 0.01))
 	require.NoError(t, err)
