--- a/internal/scale/fit.go
+++ b/internal/scale/fit.go
@@ -75,7 +75,7 @@
 
 // Fit returns the slope whose form explains the samples best by Akaike's criterion. Samples are weighted
 // by the inverse square of their size's mean: costs spread in proportion to themselves. A slope that falls is never
-// chosen: costs that fall with a size are taken for constant.
+// chosen, nor one whose interval holds nought: such costs are taken for constant.
 func Fit(samples []Sample) (Slope, error) {
 	weights, err := weigh(samples)
 	if err != nil {
@@ -84,7 +84,7 @@
 	best := fitForm(Constant, samples, weights)
 	best.AIC -= aicMargin
 	for _, form := range []Form{Linear, LogLinear, Quadratic} {
-		if s := fitForm(form, samples, weights); s.Rate > 0 && s.AIC < best.AIC {
+		if s := fitForm(form, samples, weights); s.RateInterval.Low > 0 && s.AIC < best.AIC {
 			best = s
 		}
 	}
--- a/internal/scale/fit_test.go
+++ b/internal/scale/fit_test.go
@@ -60,6 +60,13 @@
 	require.Equal(t, scale.Constant, slope.Form)
 }
 
+// Three sizes, once each, say nothing of a slope unless they lie on it.
+func TestFitTakesASlopeThatMayBeNoughtForConstant(t *testing.T) {
+	slope, err := scale.Fit([]scale.Sample{{X: 40, Y: 4053}, {X: 100, Y: 3765}, {X: 200, Y: 5844}})
+	require.NoError(t, err)
+	require.Equal(t, scale.Constant, slope.Form)
+}
+
 func TestFitTakesAFallingCostForConstant(t *testing.T) {
 	slope, err := scale.Fit(samplesOf(func(x float64) float64 { return 100 - x/100 }, 0.01))
 	require.NoError(t, err)
--- a/internal/scale/page.go
+++ b/internal/scale/page.go
@@ -368,7 +368,7 @@
 	single := get(p.mean("list", "processor for a change", "servers=4600"))
 	size := get(p.mean("list", "size of the list", "servers=4600"))
 	mesh := get(p.mean("mesh", "memory", "servers=4600"))
-	control := get(p.beyond("hollow", "processor", axisBrokers, "", TargetBrokers)) / 1e6
+	control := get(p.mean("hollow", "processor", "brokers=200")) / 1e6
 	gossip := get(p.beyond("membership", "bytes sent by the busiest", axisBrokers, "", TargetBrokers))
 	back := get(p.beyond("return", "bytes it sends in the busiest second", axisBrokers, "", TargetBrokers))
 	cold := get(p.mean("cold", "largest sum of the limit", "brokers=590"))
@@ -388,7 +388,7 @@
 		{"members", "a larger bound, or views by region", TargetBrokers, membership.Most, "members"},
 		{"a whole list on one line of a watch", "none needed yet", size / 1e6, listLine / 1e6, "MB"},
 		{"sum of what all brokers send to one cold server", "shares of the peak (`internal/lease`)", cold, 1, "of the limit"},
-		{"control of an idle broker, processor", "none needed", control, BudgetCore, "cores"},
+		{"control of an idle broker, processor, at 200 brokers", "not known at 590", control, BudgetCore, "cores"},
 		{"control of an idle broker, bytes sent", "none needed", gossip / 1e3, BudgetBytes / 1e3, "KB/s"},
 		{"memory of the connections to all record servers, of the example's 192 MB", "none needed", mesh / 1e6, 192, "MB"},
 	}
