--- a/internal/distribution/checkers_test.go
+++ b/internal/distribution/checkers_test.go
@@ -283,7 +283,8 @@
 		if report.GetInForce() != c.brokers[i].inForce {
 			c.found("books", "%s has %d in force, and %d by the books", b.name(), c.brokers[i].inForce, report.GetInForce())
 		}
-		if n := report.GetRefusal().GetNumber(); n != 0 && (!refuses(i, n) || report.GetRefusal().GetKey() != "settings.port") {
+		refusal := report.GetRefusal()
+		if n := refusal.GetNumber(); n != 0 && (!refuses(i, n) || refusal.GetKey() != "settings.port") {
 			c.found("books", "%s did not refuse %d", b.name(), n)
 		}
 	}
--- a/internal/distribution/follower_receive.go
+++ b/internal/distribution/follower_receive.go
@@ -108,8 +108,8 @@
 }
 
 // takeConfirmation notes when a quorum last confirmed the present machine. Updates that lack the revision in hand, or
-// have another content for it, confirm nothing: a machine that goes on with them is left like an unconfirmed one. The age counts from when the update was sent
-// at the earliest: it may have been held up by the network or by a pause of this process.
+// have another content for it, confirm nothing: a machine that goes on with them is left like an unconfirmed one. The
+// age counts from when the update was sent at the earliest: it may have been held up by the network or by a pause of this process.
 func (f *Follower) takeConfirmation(now time.Time, update *configpb.Update) {
 	m := &f.machines[f.machine]
 	m.reached = true
--- a/internal/distribution/follower_test.go
+++ b/internal/distribution/follower_test.go
@@ -93,11 +93,12 @@
 		update *configpb.Update
 		count  func(distribution.UpdateCounts) uint64
 	}{
-		"nil":      {nil, func(c distribution.UpdateCounts) uint64 { return c.Malformed }},
-		"older":    {updateOf(4), func(c distribution.UpdateCounts) uint64 { return c.Older }},
-		"doubled":  {updateOf(5), func(c distribution.UpdateCounts) uint64 { return c.Doubled }},
-		"behind":   {heartbeat(4, 0), func(c distribution.UpdateCounts) uint64 { return c.Behind }},
-		"conflict": {spoil(5, func(u *configpb.Update) { rewrite(u, "{}") }), func(c distribution.UpdateCounts) uint64 { return c.Conflicts }},
+		"nil":     {nil, func(c distribution.UpdateCounts) uint64 { return c.Malformed }},
+		"older":   {updateOf(4), func(c distribution.UpdateCounts) uint64 { return c.Older }},
+		"doubled": {updateOf(5), func(c distribution.UpdateCounts) uint64 { return c.Doubled }},
+		"behind":  {heartbeat(4, 0), func(c distribution.UpdateCounts) uint64 { return c.Behind }},
+		"conflict": {spoil(5, func(u *configpb.Update) { rewrite(u, "{}") }),
+			func(c distribution.UpdateCounts) uint64 { return c.Conflicts }},
 		"conflict of a heartbeat": {&configpb.Update{Newest: 5, NewestChecksum: 1, Report: 1},
 			func(c distribution.UpdateCounts) uint64 { return c.Conflicts }},
 		"torn": {spoil(6, func(u *configpb.Update) { u.Revision.Document = u.Revision.Document[1:] }),
--- a/internal/distribution/fuzz_test.go
+++ b/internal/distribution/fuzz_test.go
@@ -40,7 +40,8 @@
 	if kind == 255 {
 		return nil
 	}
-	update := &configpb.Update{Newest: r.number(), ConfirmedMs: uint32(r.number()), Report: sequence, ReportMs: uint32(r.byte())}
+	update := &configpb.Update{Newest: r.number(), ConfirmedMs: uint32(r.number()), Report: sequence}
+	update.ReportMs = uint32(r.byte())
 	document := []byte{r.byte() % 3, byte(update.Newest)}
 	if kind&1 != 0 {
 		document = make([]byte, distribution.MaxDocument+int(r.byte()%3))
--- a/internal/distribution/hub_test.go
+++ b/internal/distribution/hub_test.go
@@ -105,7 +105,9 @@
 		{spoil(func(r *configpb.Report) { r.StartedUnixMs = 0 }), malformed},
 		{spoil(func(r *configpb.Report) { r.Sequence = 0 }), malformed},
 		{spoil(func(r *configpb.Report) { r.Refusal = &configpb.Refusal{Number: 6} }), malformed},
-		{spoil(func(r *configpb.Report) { r.Refusal = &configpb.Refusal{Number: 7, Key: strings.Repeat("x", 257)} }), malformed},
+		{spoil(func(r *configpb.Report) {
+			r.Refusal = &configpb.Refusal{Number: 7, Key: strings.Repeat("x", 257)}
+		}), malformed},
 		{spoil(func(r *configpb.Report) { r.Name = "other" }), foreign},
 		{spoil(func(r *configpb.Report) { r.StartedUnixMs = 999 }), foreign},
 		{spoil(func(r *configpb.Report) { r.InForce = 4 }), older},
