--- a/internal/controlrig/command_test.go
+++ b/internal/controlrig/command_test.go
@@ -86,6 +86,20 @@
 	out, _, _ = command(t, "status", control)
 	require.Regexp(t, `newest revision 2, leader [abc], confirmed by a quorum \d`, out)
 	require.Contains(t, out, "brokers: 6 connected, 0 behind, 0 cut off")
+
+	// While no machine runs on, nothing is taken; the same request is taken once they do.
+	for _, m := range rig.Machines {
+		m.Pause()
+	}
+	_, messages, status = command(t, "publish", control, file(commandDocument), "--timeout=1s", "--request=123")
+	for _, m := range rig.Machines {
+		m.Continue()
+	}
+	require.Contains(t, messages, "not taken by any control machine")
+	require.Equal(t, 1, status)
+	out, _, status = command(t, "publish", control, file(commandDocument), "--request=123")
+	require.Equal(t, "committed as 3\n", out)
+	require.Zero(t, status)
 }
 
 // hanging is a control machine that takes publications and never answers.
@@ -120,23 +134,3 @@
 	require.Contains(t, messages, "unknown: the log may still take it")
 	require.Equal(t, 3, status)
 }
-
-// While no machine runs on, nothing is taken; the same request is taken once they do.
-func TestPublishCommandWhileAllAreStopped(t *testing.T) {
-	rig := start(t, controlrig.Options{PromoteAfter: time.Minute, Seed: *seed})
-	path := filepath.Join(t.TempDir(), "document.json")
-	require.NoError(t, os.WriteFile(path, []byte(commandDocument), 0o600))
-	control := "--control=" + strings.Join(rig.Addresses(), ",")
-	for _, m := range rig.Machines {
-		m.Pause()
-	}
-	_, messages, status := command(t, "publish", control, path, "--timeout=1s", "--request=123")
-	for _, m := range rig.Machines {
-		m.Continue()
-	}
-	require.Contains(t, messages, "not taken by any control machine")
-	require.Equal(t, 1, status)
-	out, _, status := command(t, "publish", control, path, "--request=123")
-	require.Equal(t, "committed as 1\n", out)
-	require.Zero(t, status)
-}
