--- a/internal/decision/policy.go
+++ b/internal/decision/policy.go
@@ -52,7 +52,7 @@
 	fleetBad               float64                 // median share of failed attempts, 0 if negligible
 	news                   *lazyheap.Heap[*server] // those that may be probed; the first has the oldest news
 	numbered               int                     // servers numbered so far
-	warm, memory           float64                 // warm servers, a third at least; half-life of a pace, seconds
+	warm, memory           float64                 // warm servers, a third at least; half-life of a pace
 	worthAsked, partsAsked float64                 // of all queries so far, and the parts that they needed
 	pace                   float64                 // averaged latency of a part over the crowd it met
 	drawn, chances         float64                 // windows of cold servers: with a part for one, all
