--- a/internal/scale/cold.go
+++ b/internal/scale/cold.go
@@ -22,7 +22,7 @@
 		Name: "cold",
 		Provenance: Provenance{Real: "internal/lease (Bearing)",
 			Computed: "brokers that see even shares of the load, windows that begin together"},
-		Small: axis(axisBrokers, []float64{300}),
+		Small: axis(axisBrokers, []float64{1200}), // the fewest answers to learn from
 		Large: axis(axisBrokers, brokerSizes),
 		Play:  playCold,
 	}
--- a/internal/scale/page.go
+++ b/internal/scale/page.go
@@ -262,7 +262,11 @@
 		mean, _ := MeanInterval(there)
 		return mean, "measured"
 	}
-	if prediction, err := Predict(samples); err == nil && !prediction.Holds() {
+	prediction, err := Predict(samples)
+	if err != nil {
+		return slope.At(x), "computed, unchecked: too few sizes to know"
+	}
+	if !prediction.Holds() {
 		return slope.At(x), "computed beyond what was measured, by a slope that missed"
 	}
 	return slope.At(x), "computed"
