--- a/cmd/mothrouter/refusal.go
+++ b/cmd/mothrouter/refusal.go
@@ -20,7 +20,7 @@
 	if err == nil {
 		return nil
 	}
-	key, reason := "document", err.Error()
+	key, reason := "settings", err.Error() // where an error names no key, those of the settings did not take it
 	var fault *config.KeyError
 	if errors.As(err, &fault) {
 		key, reason = fault.Key, fault.Reason
