Wait in two tests for what they mean: the end of a joint change, and no more for a client that has gone

TestSpareTakesThePlaceOfALostVoter killed the second voter while the change was still joint, when two of the three old voters still have to agree: the log (members changed, VotersOutgoing 1 2 3) has c killed 40 ms later. It waits until the lost voter is none any more. The exchange second-step-gone took the end of a connection that owed an answer, which the broker retires, for a message; nothing may come, on that or on another connection.

--- a/cmd/mothrouter/exchange_test.go
+++ b/cmd/mothrouter/exchange_test.go
@@ -332,6 +332,10 @@
 		require.NoError(p.t, p.conn(peer).SetReadDeadline(time.Now().Add(quietFor)))
 		got, err := p.ins[peer].ReadByte()
 		require.ErrorIs(p.t, err, os.ErrDeadlineExceeded, "%s got %q", peer, got)
+	case verb == "gets no more": // for a while, or for good, since the program ends the connection
+		require.NoError(p.t, p.conn(peer).SetReadDeadline(time.Now().Add(quietFor)))
+		got, err := p.ins[peer].ReadByte()
+		require.Error(p.t, err, "%s got %q", peer, got)
 	case verb == "is not called":
 		require.NoError(p.t, p.listener(peer).(*net.TCPListener).SetDeadline(time.Now().Add(quietFor)))
 		_, err := p.peers[peer].Accept()
--- a/internal/controlrig/rig_test.go
+++ b/internal/controlrig/rig_test.go
@@ -237,6 +237,7 @@
 	lost := rig.Machine("b")
 	lost.Kill()
 	waitForVoter(t, rig, "d", "d", true)
+	waitForVoter(t, rig, "d", "b", false) // until then a majority of the old voters has to agree as well
 	second := rig.Machine("c")
 	second.Kill()
 	waitForMore(t, rig, 3)
