Keep the bounds and checksum of the configuration's messages in one place

They belong to the messages: internal/configpb has them, and the others use them. query.answer fails for two reasons in one condition.

--- a/cmd/mothrouter/configuration_test.go
+++ b/cmd/mothrouter/configuration_test.go
@@ -20,7 +20,6 @@
 
 	"mothrouter/internal/confighub"
 	"mothrouter/internal/configpb"
-	"mothrouter/internal/distribution"
 )
 
 // controlMachine serves what the test publishes, on loopback.
@@ -59,7 +58,7 @@
 // publish has a document be the newest revision.
 func (m *controlMachine) publish(t *testing.T, document string) uint64 {
 	m.newest = &configpb.Revision{Number: m.newest.GetNumber() + 1, Document: []byte(document),
-		Checksum: distribution.Checksum([]byte(document)), PublishedUnixMs: time.Now().UnixMilli()}
+		Checksum: configpb.Checksum([]byte(document)), PublishedUnixMs: time.Now().UnixMilli()}
 	require.NoError(t, m.hub.SetNewest(m.newest, time.Now()))
 	return m.newest.GetNumber()
 }
--- a/internal/broker/query.go
+++ b/internal/broker/query.go
@@ -221,10 +221,7 @@
 // answer makes the answer from the parts that are in. Under the class's floor there is none, and it is
 // marked whole only if it is, whatever the Decider says.
 func (q *query) answer(whole bool) Result {
-	if q.awaitsSecond() {
-		return Result{Outcome: Failed}
-	}
-	if !q.enough() {
+	if q.awaitsSecond() || !q.enough() {
 		return Result{Outcome: Failed}
 	}
 	r := Result{Outcome: Answered, Whole: whole && q.whole()}
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -14,12 +14,13 @@
 	"unicode"
 
 	"mothrouter/internal/broker"
+	"mothrouter/internal/configpb"
 	"mothrouter/internal/decision"
 )
 
 // DocumentMost is how many bytes a document may have. At 2,700 revisions a day, one in 32 s, a broker that is sent the
 // largest each time takes 64 KiB / 32 s = 2 KiB/s.
-const DocumentMost = 64 << 10
+const DocumentMost = configpb.MaxDocument
 
 // exactIntegers is up to where a float64 holds each integer.
 const exactIntegers = 1 << 53
--- a/internal/configclient/configclient_test.go
+++ b/internal/configclient/configclient_test.go
@@ -56,7 +56,7 @@
 func revisionOf(number uint64, document string) *configpb.Revision {
 	return &configpb.Revision{
 		Number:          number,
-		Checksum:        distribution.Checksum([]byte(document)),
+		Checksum:        configpb.Checksum([]byte(document)),
 		Document:        []byte(document),
 		PublishedUnixMs: time.Now().UnixMilli(),
 	}
--- a/internal/consensus/checker_test.go
+++ b/internal/consensus/checker_test.go
@@ -118,7 +118,7 @@
 }
 
 func (c *checker) content(id uint64, found *configpb.Revision) {
-	number, sum := found.GetNumber(), revision.Checksum(found.GetDocument())
+	number, sum := found.GetNumber(), configpb.Checksum(found.GetDocument())
 	known, seen := c.contents[number]
 	if seen && known != sum || sum != found.GetChecksum() {
 		c.report(breachContent, "member %d has %x as revision %d, not %x", id, sum, number, known)
--- a/internal/consensus/client_test.go
+++ b/internal/consensus/client_test.go
@@ -58,7 +58,7 @@
 			a.asked.expected = c.known
 		}
 		document := fmt.Appendf(nil, "%c client %d operation %d", documentMark, c.id, c.operation)
-		a.asked.checksum = revision.Checksum(document)
+		a.asked.checksum = configpb.Checksum(document)
 		a.command = &configpb.Command{
 			Request:  uint64(c.id+1)<<32 | c.operation,
 			Expected: a.asked.expected,
--- a/internal/controlrig/controlrig.go
+++ b/internal/controlrig/controlrig.go
@@ -16,7 +16,6 @@
 
 	"mothrouter/internal/configpb"
 	"mothrouter/internal/controlclient"
-	"mothrouter/internal/revision"
 )
 
 // Places of the machines: three voters in three regions, and a spare beside the first.
@@ -150,7 +149,7 @@
 	n := r.documents.Add(1)
 	document := fmt.Appendf(nil, documentForm, 100+n%1_000_000, float64(n%900)/1000+0.1)
 	document = append(document, bytes.Repeat([]byte(" "), int(r.padding.Load()))...)
-	p := Publication{Request: r.options.Seed<<32 + n, Checksum: revision.Checksum(document), Began: time.Now()}
+	p := Publication{Request: r.options.Seed<<32 + n, Checksum: configpb.Checksum(document), Began: time.Now()}
 	p.Number, err = controlclient.Publish(ctx, addresses,
 		&configpb.PublishRequest{Document: document, Request: p.Request})
 	p.Ended = time.Now()
@@ -172,7 +171,7 @@
 			if err != nil {
 				return fmt.Errorf("%s, revision %d: %w", m.Name, number, err)
 			}
-			held := Held{Machine: m.Name, Number: got.GetNumber(), Checksum: revision.Checksum(got.GetDocument())}
+			held := Held{Machine: m.Name, Number: got.GetNumber(), Checksum: configpb.Checksum(got.GetDocument())}
 			r.mu.Lock()
 			r.history.Held = append(r.history.Held, held)
 			r.mu.Unlock()
--- a/internal/controlrig/follower.go
+++ b/internal/controlrig/follower.go
@@ -10,7 +10,6 @@
 	"mothrouter/internal/configclient"
 	"mothrouter/internal/configpb"
 	"mothrouter/internal/distribution"
-	"mothrouter/internal/revision"
 )
 
 // follower is a broker that only follows the configuration.
@@ -51,7 +50,7 @@
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			r.history.Applied = append(r.history.Applied, Applied{Follower: name, Number: got.GetNumber(),
-				Checksum: revision.Checksum(got.GetDocument()), At: time.Now()})
+				Checksum: configpb.Checksum(got.GetDocument()), At: time.Now()})
 			return nil
 		},
 	})
--- a/internal/controlserver/publish.go
+++ b/internal/controlserver/publish.go
@@ -164,7 +164,7 @@
 	if validated == nil && newest != 0 { // compared with nothing, and now there is something
 		return errFirst
 	}
-	checksum := revision.Checksum(request.GetDocument())
+	checksum := configpb.Checksum(request.GetDocument())
 	if err := r.publications.check(request.GetRequest(), checksum, newest); err != nil {
 		return err
 	}
--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -13,8 +13,6 @@
 	"time"
 	"unicode/utf8"
 
-	"github.com/cespare/xxhash/v2"
-
 	"mothrouter/internal/configpb"
 )
 
@@ -24,15 +22,13 @@
 	// ReportEvery is how often a broker reports at least, whether or not anything changed.
 	ReportEvery = 10 * time.Second
 	// MaxDocument is the largest document of a revision, in bytes.
-	MaxDocument = 64 << 10
+	MaxDocument = configpb.MaxDocument
 	// MaxMessage bounds one message on the wire: a document, and 4 KiB for every other field of it.
 	MaxMessage = MaxDocument + 4<<10
 	// NeverConfirmed is Update.confirmed_ms of a control machine that has not heard of a quorum yet.
 	NeverConfirmed = 1<<32 - 1
 
-	maxName   = 128  // bytes of a broker's or a zone's name
-	maxKey    = 256  // bytes of the key of a refusal
-	maxReason = 1024 // bytes of the reason of a refusal
+	maxName = 128 // bytes of a broker's or a zone's name
 )
 
 // Errors of CheckRevision.
@@ -43,9 +39,6 @@
 	ErrTorn     = errors.New("the document is not what its checksum names")
 )
 
-// Checksum returns the checksum of a document.
-func Checksum(document []byte) uint64 { return xxhash.Sum64(document) }
-
 // CheckRevision returns why a revision is not whole: one of ErrNoNumber, ErrEmpty, ErrTooLarge and ErrTorn.
 func CheckRevision(revision *configpb.Revision) error {
 	switch document := revision.GetDocument(); {
@@ -55,7 +48,7 @@
 		return ErrEmpty
 	case len(document) > MaxDocument:
 		return ErrTooLarge
-	case Checksum(document) != revision.GetChecksum():
+	case configpb.Checksum(document) != revision.GetChecksum():
 		return ErrTorn
 	}
 	return nil
@@ -76,5 +69,6 @@
 		return true
 	}
 	return refusal.GetNumber() > report.GetInForce() &&
-		validText(refusal.GetKey(), maxKey) && validText(refusal.GetReason(), maxReason)
+		validText(refusal.GetKey(), configpb.MaxRefusalKey) &&
+		validText(refusal.GetReason(), configpb.MaxRefusalReason)
 }
--- a/internal/distribution/follower_test.go
+++ b/internal/distribution/follower_test.go
@@ -122,7 +122,7 @@
 
 func rewrite(u *configpb.Update, document string) {
 	u.Revision.Document = []byte(document)
-	u.Revision.Checksum = distribution.Checksum(u.Revision.Document)
+	u.Revision.Checksum = configpb.Checksum(u.Revision.Document)
 	u.NewestChecksum = u.Revision.Checksum
 }
 
--- a/internal/distribution/fuzz_test.go
+++ b/internal/distribution/fuzz_test.go
@@ -47,7 +47,7 @@
 		document = make([]byte, distribution.MaxDocument+int(r.byte()%3))
 	}
 	if update.Newest != 0 {
-		update.NewestChecksum = distribution.Checksum(document)
+		update.NewestChecksum = configpb.Checksum(document)
 	}
 	if kind&2 != 0 {
 		update.Revision = &configpb.Revision{Number: update.Newest, Document: document, Checksum: update.NewestChecksum}
@@ -88,7 +88,7 @@
 	if n := len(revision.Document); n == 0 || n > distribution.MaxDocument {
 		return
 	}
-	if distribution.Checksum(revision.Document) != revision.Checksum {
+	if configpb.Checksum(revision.Document) != revision.Checksum {
 		return
 	}
 	for _, old := range o.accepted {
--- a/internal/distribution/hub_test.go
+++ b/internal/distribution/hub_test.go
@@ -16,7 +16,7 @@
 	document := fmt.Appendf(nil, `{"number":%d}`, number)
 	return &configpb.Revision{
 		Number:          number,
-		Checksum:        distribution.Checksum(document),
+		Checksum:        configpb.Checksum(document),
 		Document:        document,
 		PublishedUnixMs: epoch.UnixMilli(),
 	}
@@ -218,7 +218,7 @@
 	other := revisionOf(2)
 	other.Document = []byte("{}")
 	require.ErrorIs(t, h.Newest(epoch, other), distribution.ErrTorn)
-	other.Checksum = distribution.Checksum(other.Document)
+	other.Checksum = configpb.Checksum(other.Document)
 	require.ErrorIs(t, h.Newest(epoch, other), distribution.ErrConflict)
 	require.ErrorIs(t, h.Newest(epoch, nil), distribution.ErrNoNumber)
 	require.ErrorIs(t, h.Newest(epoch, &configpb.Revision{Number: 3}), distribution.ErrEmpty)
--- a/internal/distribution/revisions.go
+++ b/internal/distribution/revisions.go
@@ -1,7 +1,6 @@
 package distribution
 
 import (
-	"strings"
 	"time"
 
 	"mothrouter/internal/configpb"
@@ -50,7 +49,7 @@
 
 func (r *revisions) refused(number uint64, key, reason string) {
 	r.finish(number)
-	r.refusal = &configpb.Refusal{Number: number, Key: cut(key, maxKey), Reason: cut(reason, maxReason)}
+	r.refusal = configpb.NewRefusal(number, key, reason)
 }
 
 // finish ends the application of a revision.
@@ -63,12 +62,3 @@
 	}
 	r.applying = 0
 }
-
-// cut returns a text of at most so many bytes that is valid UTF-8.
-func cut(text string, most int) string {
-	text = strings.ToValidUTF8(text, "?")
-	if len(text) > most {
-		text = strings.ToValidUTF8(text[:most], "")
-	}
-	return text
-}
--- a/internal/distribution/simulation_stream_test.go
+++ b/internal/distribution/simulation_stream_test.go
@@ -196,7 +196,7 @@
 		spoilt.Revision.Document = spoilt.Revision.Document[:len(spoilt.Revision.Document)/2]
 	case 3:
 		spoilt.Revision.Document = make([]byte, distribution.MaxDocument+1)
-		spoilt.Revision.Checksum = distribution.Checksum(spoilt.Revision.Document)
+		spoilt.Revision.Checksum = configpb.Checksum(spoilt.Revision.Document)
 		spoilt.NewestChecksum = spoilt.Revision.Checksum
 		spoilt.Newest += 1000
 		spoilt.Revision.Number = spoilt.Newest
--- a/internal/distribution/simulation_test.go
+++ b/internal/distribution/simulation_test.go
@@ -208,7 +208,7 @@
 	document := fmt.Appendf(nil, `{"number":%d,"salt":%d}`, number, s.rng.Uint64())
 	s.log = append(s.log, &configpb.Revision{
 		Number:          number,
-		Checksum:        distribution.Checksum(document),
+		Checksum:        configpb.Checksum(document),
 		Document:        document,
 		PublishedUnixMs: s.time().UnixMilli(),
 	})
--- a/internal/revision/machine.go
+++ b/internal/revision/machine.go
@@ -68,7 +68,7 @@
 	if rejection := check(command); rejection != Accepted {
 		return Result{Rejection: rejection, Number: m.newest}
 	}
-	checksum := Checksum(command.GetDocument())
+	checksum := configpb.Checksum(command.GetDocument())
 	if before, found := m.byID[command.GetRequest()]; found {
 		return m.repeat(before, checksum)
 	}
--- a/internal/revision/revision.go
+++ b/internal/revision/revision.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 
-	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"mothrouter/internal/configpb"
@@ -20,7 +19,7 @@
 // Limits of the machine.
 const (
 	// MaxDocumentBytes is the size of the largest document.
-	MaxDocumentBytes = 64 << 10
+	MaxDocumentBytes = configpb.MaxDocument
 
 	// MaxCommandBytes is the size of the largest encoded Command: its document and four fields of at most 10 bytes
 	// each with their tags, rounded up to 1 KiB.
@@ -74,9 +73,6 @@
 	Repeated  bool   // Accepted before, by an earlier command of the same request id
 }
 
-// Checksum returns the checksum of a document.
-func Checksum(document []byte) uint64 { return xxhash.Sum64(document) }
-
 // ErrCommand tells that an entry is no Command, or a larger one than the log takes.
 var ErrCommand = errors.New("revision: not a command")
 
--- a/internal/revision/revision_test.go
+++ b/internal/revision/revision_test.go
@@ -200,7 +200,7 @@
 
 func TestContradictorySnapshotsAreRefused(t *testing.T) {
 	revision := func(number uint64, document string) *configpb.Revision {
-		return &configpb.Revision{Number: number, Document: []byte(document), Checksum: Checksum([]byte(document))}
+		return &configpb.Revision{Number: number, Document: []byte(document), Checksum: configpb.Checksum([]byte(document))}
 	}
 	request := func(id, number uint64) *revisionpb.Request {
 		return &revisionpb.Request{Request: id, Number: number}
--- a/internal/revision/snapshot.go
+++ b/internal/revision/snapshot.go
@@ -139,7 +139,7 @@
 	if number != m.newest+1 {
 		return fmt.Errorf("%w: revision %d follows %d", ErrCorrupt, number, m.newest)
 	}
-	if len(document) == 0 || len(document) > MaxDocumentBytes || Checksum(document) != revision.GetChecksum() {
+	if len(document) == 0 || len(document) > MaxDocumentBytes || configpb.Checksum(document) != revision.GetChecksum() {
 		return fmt.Errorf("%w: document of revision %d", ErrCorrupt, number)
 	}
 	return nil
--- a/internal/scale/configuration_document.go
+++ b/internal/scale/configuration_document.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"mothrouter/internal/configpb"
-	"mothrouter/internal/distribution"
 )
 
 const (
@@ -58,6 +57,6 @@
 // revisionOf is the revision of a number, as the log would have it.
 func revisionOf(number uint64, size int) *configpb.Revision {
 	document := documentOf(number, size)
-	return &configpb.Revision{Number: number, Checksum: distribution.Checksum(document), Document: document,
+	return &configpb.Revision{Number: number, Checksum: configpb.Checksum(document), Document: document,
 		PublishedUnixMs: time.Now().UnixMilli()}
 }
