review: one spoilt bit of an answer over Flight ends the broker (case 1)

Cause: the link reads the rows of a record batch without validating its offsets, and the library panics on a bad one outside of its recovery.

--- a/review/standin/discovery.go
+++ b/review/standin/discovery.go
@@ -75,6 +75,17 @@
 	return List{Version: d.list.Version, Full: true, Servers: append([]Entry(nil), d.list.Servers...)}
 }
 
+// SetAddress sets the address of a record server, before any broker has asked for the list.
+func (d *Discovery) SetAddress(id, address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i := range d.list.Servers {
+		if d.list.Servers[i].ID == id {
+			d.list.Servers[i].Addr = address
+		}
+	}
+}
+
 // Change gives the agent a change of one record server. Open watches are told of it, or end instead.
 func (d *Discovery) Change(id, state string, endInstead bool) {
 	d.mu.Lock()
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -20,7 +20,8 @@
 	Record    *Record
 	Servers   []*Server
 	Discovery *Discovery
-	Brokers   int // settings.peersTotal
+	Brokers   int    // settings.peersTotal
+	Flags     string // of the brokers that are started from now on
 	processes []*Process
 }
 
@@ -117,7 +118,8 @@
 		return nil, err
 	}
 	environment = append([]string{"PROXY_CONFIG=" + path}, environment...)
-	p, err := Start(s.Root, s.Folder, fmt.Sprintf("%s-%d", name, len(s.processes)), run, environment, extra...)
+	logName := fmt.Sprintf("%s-%d", name, len(s.processes))
+	p, err := Start(s.Root, s.Folder, logName, strings.TrimSpace(run+" "+s.Flags), environment, extra...)
 	if err != nil {
 		return nil, err
 	}
