review: stand-ins without what no case uses; the scripts end their players on a signal

Cause: the stand-ins still had what trials needed that found nothing. Change: it is out, and run.sh waits for its player so that a signal ends both.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -8,11 +8,13 @@
   exit 2
 fi
 folder=$(mktemp -d) || exit 2
-trap 'rm -rf "$folder"' EXIT
-trap 'exit 2' HUP INT TERM
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-timeout -k 2 115 "$player" -root "$root" -folder "$folder" -record "$here/record.txt" -trouble=$trouble
+timeout -k 2 115 "$player" -root "$root" -folder "$folder" -record "$here/record.txt" -trouble=$trouble &
+pid=$!
+trap 'rm -rf "$folder"' EXIT
+trap 'kill "$pid"; wait "$pid"; exit 2' HUP INT TERM
+wait "$pid"
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
--- a/review/cmd/handover/main.go
+++ b/review/cmd/handover/main.go
@@ -65,7 +65,7 @@
 }
 
 func (p *play) run(root, folder string, trouble bool) error {
-	site, err := standin.NewSite(root, folder, p.record, 4, 2, work, nil)
+	site, err := standin.NewSite(root, folder, p.record, 4, 2, work)
 	if err != nil {
 		return err
 	}
--- a/review/cmd/spoilt/main.go
+++ b/review/cmd/spoilt/main.go
@@ -144,7 +144,7 @@
 }
 
 func (p *play) run(root, folder string, trouble bool) (ended bool, err error) {
-	site, err := standin.NewSite(root, folder, p.record, servers, 2, work, nil)
+	site, err := standin.NewSite(root, folder, p.record, servers, 2, work)
 	if err != nil {
 		return false, err
 	}
--- a/review/standin/discovery.go
+++ b/review/standin/discovery.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -31,25 +32,20 @@
 	Servers []Entry `json:"servers"`
 }
 
-// Discovery is the agent of discovery on a broker's machine. It answers each call at once, with the whole list first.
+// Discovery is the agent of discovery on a broker's machine. It answers each call at once, with the whole list. Nothing changes
+// on it.
 type Discovery struct {
 	Record *Record
 
 	listener net.Listener
 
-	mu      sync.Mutex
-	list    List
-	watches map[*watch]struct{}
-}
-
-type watch struct {
-	conn    net.Conn
-	changes chan List
+	mu   sync.Mutex
+	list List
 }
 
 // Listen starts the agent with a list.
 func (d *Discovery) Listen(list List) (err error) {
-	d.list, d.watches = list, map[*watch]struct{}{}
+	d.list = list
 	if d.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		return err
 	}
@@ -86,29 +82,6 @@
 	}
 }
 
-// Change gives the agent a change of one record server. Open watches are told of it, or end instead.
-func (d *Discovery) Change(id, state string, endInstead bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.list.Version++
-	change := List{Version: d.list.Version}
-	for i := range d.list.Servers {
-		if d.list.Servers[i].ID == id {
-			d.list.Servers[i].State = state
-			change.Servers = append(change.Servers, d.list.Servers[i])
-		}
-	}
-	d.Record.Line("discovery has version %d: %s is %s", d.list.Version, id, state)
-	for w := range d.watches {
-		if endInstead {
-			d.Record.Line("a watch ends instead of telling version %d", d.list.Version)
-			w.conn.Close()
-			continue
-		}
-		w.changes <- change
-	}
-}
-
 func (d *Discovery) serve(conn net.Conn) {
 	defer conn.Close()
 	request, err := http.ReadRequest(bufio.NewReader(conn))
@@ -121,30 +94,16 @@
 		return
 	}
 	since, _ := strconv.ParseInt(request.URL.Query().Get("since"), 10, 64)
-	w := &watch{conn: conn, changes: make(chan List, 64)}
-	d.mu.Lock()
-	d.watches[w] = struct{}{}
-	first := List{Version: d.list.Version, Full: true, Servers: append([]Entry(nil), d.list.Servers...)}
-	d.mu.Unlock()
-	defer func() {
-		d.mu.Lock()
-		delete(d.watches, w)
-		d.mu.Unlock()
-	}()
-	d.Record.Line("discovery answers a watch since %d with version %d", since, first.Version)
-	if _, err := fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", chunk(first)); err != nil {
+	list := d.List()
+	if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"); err != nil {
 		return
 	}
-	for {
-		line := chunk(nil)
-		select {
-		case change := <-w.changes:
-			line = chunk(change)
-		case <-time.After(2 * time.Second):
-		}
-		if _, err := fmt.Fprint(conn, line); err != nil {
+	d.Record.Line("discovery answers a watch since %d with version %d", since, list.Version)
+	for line := chunk(list); ; line = chunk(nil) {
+		if _, err := io.WriteString(conn, line); err != nil {
 			return
 		}
+		time.Sleep(2 * time.Second)
 	}
 }
 
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -17,26 +17,20 @@
 
 // Attempt is a part that a record server has received.
 type Attempt struct {
-	At     time.Time
-	Server string
-	ID     string // query, dot, shard
-	Shard  int
-	Query  string
+	ID    string // query, dot, shard
+	Query string
 }
 
 // Server is a record server. It holds the shards of its cell and of the cells before it, as many as the reach says.
 type Server struct {
-	ID      string
-	Cell    int
-	Work    time.Duration // for a part
-	Record  *Record
-	OnPart  func(Attempt)
-	Started int64 // started_ms on the list
+	ID     string
+	Cell   int
+	Work   time.Duration // for a part
+	Record *Record
 
 	listener net.Listener
 
 	mu      sync.Mutex
-	hanging bool
 	running int
 }
 
@@ -61,19 +55,6 @@
 // Address returns where the server listens.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// SetHanging sets whether the server takes parts and answers none from now on, not even those that it has.
-func (s *Server) SetHanging(hanging bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.hanging = hanging
-}
-
-func (s *Server) isHanging() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.hanging
-}
-
 // Value is the value of a part: what a record server made for it, and nobody else can.
 func Value(id, query string) string {
 	h := fnv.New64a()
@@ -109,11 +90,7 @@
 					reply('F', err.Error())
 					return
 				}
-				a.At, a.Server = time.Now(), s.ID
 				s.Record.Line("%s has received the part %s", s.ID, a.ID)
-				if s.OnPart != nil {
-					s.OnPart(a)
-				}
 				cancel := make(chan struct{})
 				cancels[a.ID] = cancel
 				go s.run(a, cancel, reply)
@@ -144,17 +121,10 @@
 	}()
 	work := time.NewTimer(s.Work)
 	defer work.Stop()
-	for s.isHanging() || work.C != nil {
-		select {
-		case <-cancel:
-			return
-		case <-work.C:
-			work.C = nil
-			if s.isHanging() {
-				work.Reset(0)
-			}
-		case <-time.After(20 * time.Millisecond):
-		}
+	select {
+	case <-cancel:
+		return
+	case <-work.C:
 	}
 	s.Record.Line("%s has run the part %s", s.ID, a.ID)
 	reply('R', fmt.Sprintf("%s done %d %s\n%s", a.ID, 1, s.report(), Value(a.ID, a.Query)))
@@ -193,9 +163,6 @@
 	if err != nil || n > len(rest) {
 		return a, nil, fmt.Errorf("length of a part: %q", line)
 	}
-	if a.Shard, err = strconv.Atoi(fields[1]); err != nil {
-		return a, nil, fmt.Errorf("shard of a part: %q", line)
-	}
 	a.ID, a.Query = fields[0], string(rest[:n])
 	return a, rest[n:], nil
 }
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -29,11 +29,11 @@
 const Shards = 2
 
 // NewSite starts record servers and a discovery that lists them.
-func NewSite(root, folder string, record *Record, servers, brokers int, work time.Duration, onPart func(Attempt)) (*Site, error) {
+func NewSite(root, folder string, record *Record, servers, brokers int, work time.Duration) (*Site, error) {
 	s := &Site{Root: root, Folder: folder, Record: record, Brokers: brokers, Discovery: &Discovery{Record: record}}
 	list := List{Version: 1, Full: true}
 	for i := range servers {
-		server := &Server{ID: fmt.Sprintf("s-%d", i), Cell: i, Work: work, Record: record, OnPart: onPart}
+		server := &Server{ID: fmt.Sprintf("s-%d", i), Cell: i, Work: work, Record: record}
 		if err := server.Listen(); err != nil {
 			return nil, err
 		}
