review: a broker held up for 0.145 s ends without answering what it has taken (case 3)

Cause: after SIGTERM the process exits at its planned time whether or not queries are in flight, 0.1 s after the core's last answers are due, and a broker may be held up for 0.15 s. Change: the case takes the place of the one on replaced processes, which needed clients that send several requests at once.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,7 +2,7 @@
 # Plays the case. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: no disruption.
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
-player="$root/review/bin/handover"
+player="$root/review/bin/restart"
 if [ ! -x "$player" ] || [ ! -x "$root/bin/mothrouter" ]; then
   echo "run the build of deploy/balancer.toml and review/build.sh first" >&2
   exit 2
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -32,6 +32,7 @@
 
 	mu      sync.Mutex
 	running int
+	hanging bool
 }
 
 // Listen starts the server on a free port.
@@ -55,6 +56,19 @@
 // Address returns where the server listens.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
+// Hang has the server take parts and answer none from now on, not even those that it has.
+func (s *Server) Hang() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hanging = true
+}
+
+func (s *Server) isHanging() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hanging
+}
+
 // Value is the value of a part: what a record server made for it, and nobody else can.
 func Value(id, query string) string {
 	h := fnv.New64a()
@@ -126,6 +140,10 @@
 		return
 	case <-work.C:
 	}
+	if s.isHanging() {
+		<-cancel
+		return
+	}
 	s.Record.Line("%s has run the part %s", s.ID, a.ID)
 	reply('R', fmt.Sprintf("%s done %d %s\n%s", a.ID, 1, s.report(), Value(a.ID, a.Query)))
 }
