Log how long a shutdown took and how many queries it left without an answer

Whoever looks at a request that ended with a reset during a planned restart could not see from the log whether the process exited before its core had answered, or answered and did not write.

--- a/cmd/mothrouter/shutdown.go
+++ b/cmd/mothrouter/shutdown.go
@@ -33,6 +33,7 @@
 	}
 	fronts.Wait()
 	p.core.Drain(exitCtx)
+	p.log.Info("shut down", "duration", time.Since(startedAt), "unanswered queries", p.core.Gauges().Queries)
 	return nil
 }
 
