Exit only after every accepted query is answered, also after a hold-up

Cause: the last answers (3.5 s) and the exit (3.6 s) were timers 0.1 s apart, and a broker may be held up for 0.15 s. Then both are due together. front.Shutdown, the Flight front's Stop and core.Drain all returned when the one context of the exit was done, whether or not queries were in flight. The line 'shut down' showed it: 8 unanswered queries at 3.615 s.

Change: the exit waits for the answers instead of the clock, on every worker and both fronts: each connection ends itself after its answer, the process when all have. ExitBy only ends the wait for clients that have their answers and do not close. A limit for clients that do not read theirs (AbandonBy) stays, 3 s later. The plan's times are unchanged.

TestPlanShutdownEndsBeforeSIGKILL keeps its bounds and asks for the time of a hold-up before SIGKILL, too.

--- a/cmd/mothrouter/shutdown.go
+++ b/cmd/mothrouter/shutdown.go
@@ -9,8 +9,9 @@
 )
 
 // shutDown shuts the process down gracefully: it answers the accepted requests and closes client connections at the times
-// of a drain.ShutdownPlan. The plan is made once: a later revision does not change it. It returns the error of a front that
-// fails before answers announce that their connections close.
+// of a drain.ShutdownPlan, and returns once every accepted request has its answer, also if that is late because the process
+// was held up. The plan is made once: a later revision does not change it. It returns the error of a front that fails before
+// answers announce that their connections close.
 func (p *process) shutDown() error {
 	p.log.Info("shutting down")
 	startedAt := time.Now()
@@ -24,15 +25,15 @@
 	if err := p.waitForFrontError(plan.AnnounceClose); err != nil {
 		return err
 	}
-	exitCtx, stop := context.WithDeadline(p.ctx, startedAt.Add(plan.ExitBy))
-	defer stop()
+	ctx, cancel := context.WithDeadline(p.ctx, startedAt.Add(plan.AbandonBy))
+	defer cancel()
 	var fronts sync.WaitGroup
-	fronts.Go(func() { p.clientFront.Shutdown(exitCtx, plan) })
+	fronts.Go(func() { p.clientFront.Shutdown(ctx, plan) })
 	if p.flightFront != nil {
-		fronts.Go(func() { p.flightFront.Stop(exitCtx) })
+		fronts.Go(func() { p.flightFront.Shutdown(ctx, plan) })
 	}
 	fronts.Wait()
-	p.core.Drain(exitCtx)
+	p.core.Drain(ctx)
 	p.log.Info("shut down", "duration", time.Since(startedAt), "unanswered queries", p.core.Gauges().Queries)
 	return nil
 }
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -29,16 +29,26 @@
 	CloseIdle time.Duration
 	// AnswerBy is when all requests must have their final answers.
 	AnswerBy time.Duration
-	// ExitBy is when the process must have exited, whatever its clients do.
+	// ExitBy is when the process stops waiting for clients that have their answers and do not close. It exits then, or as soon
+	// afterwards as the last accepted request has been answered: after a hold-up, that may be later than AnswerBy.
 	ExitBy time.Duration
+	// AbandonBy is when the process exits even if a client has not read its answer.
+	AbandonBy time.Duration
 }
 
+// maxHoldUp is how long the process may be held up between reading its clock and acting on it, at any moment. Steps that are
+// less than this apart may be due together and happen in any order, so a step that needs the result of another waits for
+// that result.
+const maxHoldUp = 150 * time.Millisecond
+
 // Bounds of a shutdown. SIGKILL follows SIGTERM after the longest deadline plus killDelay, or later.
 const (
 	killDelay          = 700 * time.Millisecond
-	maxPlannedDeadline = 3 * time.Second        // longer deadlines are capped at this
-	answerLead         = 200 * time.Millisecond // from AnswerBy to SIGKILL
-	exitLead           = 100 * time.Millisecond // from ExitBy to SIGKILL
+	maxPlannedDeadline = 3 * time.Second              // longer deadlines are capped at this
+	writeAnswersTime   = 50 * time.Millisecond        // for writing all answers that are given at AnswerBy
+	answerLead         = maxHoldUp + writeAnswersTime // from AnswerBy to SIGKILL
+	exitLead           = 100 * time.Millisecond       // from ExitBy to SIGKILL
+	abandonDelay       = 3 * time.Second              // from ExitBy; longer than any write of an answer may take
 	maxAnnounceClose   = 500 * time.Millisecond
 	maxCloseIdleDelay  = time.Second // from AnnounceClose; lets clients use an existing connection once more
 )
@@ -48,6 +58,7 @@
 func PlanShutdown(longestDeadline time.Duration) ShutdownPlan {
 	killAt := min(longestDeadline, maxPlannedDeadline) + killDelay
 	plan := ShutdownPlan{AnswerBy: killAt - answerLead, ExitBy: killAt - exitLead}
+	plan.AbandonBy = plan.ExitBy + abandonDelay
 	plan.AnnounceClose = min(maxAnnounceClose, plan.AnswerBy*2/3)
 	plan.CloseIdle = plan.AnnounceClose + min(maxCloseIdleDelay, (plan.AnswerBy-plan.AnnounceClose)/2)
 	return plan
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -42,6 +42,8 @@
 		require.Less(t, plan.ExitBy, killedAt)
 		require.LessOrEqual(t, plan.AnswerBy, plan.ExitBy-50*time.Millisecond)
 		require.LessOrEqual(t, plan.ExitBy, killedAt-100*time.Millisecond)
+		require.Less(t, plan.AnswerBy+150*time.Millisecond, killedAt) // a hold-up leaves time to answer before SIGKILL
+		require.Greater(t, plan.AbandonBy, plan.ExitBy+2*time.Second) // clients have 2 s to read an answer
 		require.Less(t, plan.CloseIdle, plan.AnswerBy)
 		require.GreaterOrEqual(t, plan.CloseIdle, plan.AnnounceClose)
 		if longest >= 300*time.Millisecond {
--- a/internal/transport/flight/front.go
+++ b/internal/transport/flight/front.go
@@ -19,6 +19,7 @@
 	"google.golang.org/grpc/status"
 
 	"mothrouter/internal/broker"
+	"mothrouter/internal/drain"
 )
 
 // secondsOf converts seconds to a duration.
@@ -77,11 +78,55 @@
 	return f.server.Serve(netutil.LimitListener(l, max(f.opt.MaxConns, 1)))
 }
 
-// Stop accepts no new calls and waits for those in flight; when ctx is done, it cancels them.
-func (f *Front) Stop(ctx context.Context) {
-	stop := context.AfterFunc(ctx, f.server.Stop)
-	f.server.GracefulStop()
-	stop()
+// flushTimeout is how long the last statuses of calls may take to be written before the connections are closed. It is longer
+// than a process may be held up.
+const flushTimeout = 300 * time.Millisecond
+
+// Shutdown is called at AnnounceClose of the plan. It accepts no new calls, and returns when those in flight have ended with
+// their statuses and all connections have closed. Connections without calls are closed after ExitBy, all of them when ctx is
+// done.
+func (f *Front) Shutdown(ctx context.Context, plan drain.ShutdownPlan) {
+	exitAt := time.Now().Add(plan.ExitBy - plan.AnnounceClose)
+	stopped := make(chan struct{})
+	go func() {
+		f.server.GracefulStop()
+		close(stopped)
+	}()
+	closing, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		defer cancel()
+		sleepUntil(ctx, exitAt)
+		f.awaitCalls(ctx)
+		sleepUntil(ctx, time.Now().Add(flushTimeout))
+	}()
+	select {
+	case <-stopped:
+	case <-closing.Done(): // a client keeps its connection open, or has not read its answer
+		f.server.Stop()
+		<-stopped
+	}
+}
+
+// awaitCalls waits until no call is in flight or ctx is done. Calls that begin later are rejected.
+func (f *Front) awaitCalls(ctx context.Context) {
+	for range cap(f.slots) {
+		select {
+		case f.slots <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// sleepUntil returns at t, or once ctx is done.
+func sleepUntil(ctx context.Context, t time.Time) {
+	timer := time.NewTimer(time.Until(t))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 }
 
 // admit bounds the calls in flight to maxCalls, and rejects others before their tickets are read.
--- a/internal/transport/front/conn_test.go
+++ b/internal/transport/front/conn_test.go
@@ -153,11 +153,7 @@
 	client, in, _ := f.dial()
 	f.roundTrip(client, in, "first")
 	fmt.Fprint(client, requestText("second")[:60])
-	require.Eventually(t, func() bool {
-		f.front.mu.Lock()
-		defer f.front.mu.Unlock()
-		return f.front.receivingConns.Len() == 1
-	}, time.Second, time.Millisecond)
+	f.awaitReceiving(1)
 	next, nextIn, _ := f.dial()
 	require.Equal(t, "HTTP/1.1 503 Service Unavailable", readStatusLine(t, in))
 	f.roundTrip(next, nextIn, "third")
@@ -187,6 +183,35 @@
 	require.Less(t, (<-endTime).Sub(startedAt), time.Second)
 }
 
+// A shutdown waits for an answer that is given after ExitBy, as after a hold-up, but not for clients that have their answers and
+// do not close: they get exitLinger, also if they began to linger before ExitBy.
+func TestShutdownAwaitsLateAnswerButNotLingeringClients(t *testing.T) {
+	f := newFixture(t, Options{MaxConns: 8})
+	late, lateIn, _ := f.dial()
+	fmt.Fprint(late, requestText("late"))
+	q := <-f.submissions
+	lingering, lingeringIn, _ := f.dial()
+	f.roundTrip(lingering, lingeringIn, "first")
+	fmt.Fprint(lingering, requestText("second")[:60])
+	f.awaitReceiving(1)
+	ended := make(chan time.Time, 1)
+	go func() {
+		f.front.Shutdown(f.Context(), drain.ShutdownPlan{AnswerBy: 250 * time.Millisecond, ExitBy: 300 * time.Millisecond})
+		ended <- time.Now()
+	}()
+	require.Equal(t, "HTTP/1.1 408 Request Timeout", readStatusLine(t, lingeringIn)) // at AnswerBy
+	select {
+	case <-ended:
+		require.FailNow(t, "the shutdown ended without the answer")
+	case <-time.After(350 * time.Millisecond): // less than lingerTimeout
+	}
+	require.Equal(t, 1, f.front.connCount(), "a client delays the end that has its answer and does not close")
+	answeredAt := time.Now()
+	q.Finish(broker.Result{Complete: true})
+	require.Equal(t, "HTTP/1.1 200 OK", readStatusLine(t, lateIn))
+	require.Less(t, (<-ended).Sub(answeredAt), lingerTimeout)
+}
+
 // While requests in flight hold all slots, another connection gets 503 with Retry-After, and no reset loses the response.
 func TestConnectionOverCapacityGets503WithRetryAfter(t *testing.T) {
 	f := newFixture(t, Options{MaxConns: 1})
--- a/internal/transport/front/fixture_test.go
+++ b/internal/transport/front/fixture_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"container/list"
 	"fmt"
 	"io"
 	"log/slog"
@@ -163,11 +164,23 @@
 
 // awaitIdle waits until n connections are between requests, which is slightly after their clients have read the responses.
 func (f *fixture) awaitIdle(n int) {
+	f.Helper()
+	f.awaitLength(&f.front.idleConns, n)
+}
+
+// awaitReceiving waits until n connections have received a part of a later request than their first.
+func (f *fixture) awaitReceiving(n int) {
+	f.Helper()
+	f.awaitLength(&f.front.receivingConns, n)
+}
+
+// awaitLength waits until a list of the front has n connections.
+func (f *fixture) awaitLength(conns *list.List, n int) {
 	f.Helper()
 	require.Eventually(f, func() bool {
 		f.front.mu.Lock()
 		defer f.front.mu.Unlock()
-		return f.front.idleConns.Len() == n
+		return conns.Len() == n
 	}, 2*time.Second, time.Millisecond)
 }
 
--- a/internal/transport/front/limits.go
+++ b/internal/transport/front/limits.go
@@ -13,6 +13,7 @@
 	newConnGrace    = 250 * time.Millisecond  // a client that has just connected is about to send: others are evicted first
 	evictionTimeout = 20 * time.Millisecond   // for an evicted connection to end, during which none is accepted
 	lingerTimeout   = 500 * time.Millisecond  // for a client to read its last answer and close
+	exitLinger      = 100 * time.Millisecond  // the same, when the process is about to exit
 	acceptBackoff   = 10 * time.Millisecond   // after a failed accept
 
 	maxLingerBytes    = 256 << 10 // read and discarded while a connection lingers
--- a/internal/transport/front/respond.go
+++ b/internal/transport/front/respond.go
@@ -130,7 +130,8 @@
 	}
 	_ = halfCloser.CloseWrite() // fails only if the connection has ended
 	c.front.markLingering(c)
-	wait := time.NewTimer(lingerTimeout)
+	startedAt := time.Now()
+	wait := time.NewTimer(c.lingerTimeout())
 	defer wait.Stop()
 	discard := make([]byte, discardSize)
 	for remaining := maxLingerBytes; remaining > 0; {
@@ -145,6 +146,7 @@
 			if c.front.isEvicted(c) {
 				return
 			}
+			wait.Reset(time.Until(startedAt.Add(c.lingerTimeout())))
 		case r := <-c.readResults:
 			c.reading = false
 			if r.err != nil {
@@ -155,6 +157,14 @@
 	}
 }
 
+// lingerTimeout returns how long the connection lingers, by the stage of the shutdown.
+func (c *conn) lingerTimeout() time.Duration {
+	if c.front.stage().exit {
+		return exitLinger
+	}
+	return lingerTimeout
+}
+
 // problem is the JSON body of a response other than 200.
 type problem struct {
 	Error string `json:"error"`
--- a/internal/transport/front/shutdown.go
+++ b/internal/transport/front/shutdown.go
@@ -14,24 +14,56 @@
 	announceClose bool // answers say Connection: close
 	closeIdle     bool // connections between requests end
 	closeAll      bool // connections that have received part of a request end too
+	exit          bool // the process exits once every request has its answer: clients are no longer given time to close
 }
 
-// Shutdown ends the front in the stages of the plan. First, answers announce that the connection closes, and clients may use
-// each connection once more: closing all at once would make every client reconnect at the same moment, perhaps without a broker
-// to connect to. Then the listener and idle connections close, the others after their answers. At AnswerBy, connections
-// that have received part of a request end too. Shutdown returns when all connections have ended or ctx is done.
+// Shutdown ends the front in the stages of the plan; it is called at AnnounceClose. First, answers announce that the
+// connection closes, and clients may use each connection once more: closing all at once would make every client reconnect at
+// the same moment, perhaps without a broker to connect to. Then the listener and idle connections close, the others after their
+// answers. At AnswerBy, connections that have received part of a request end too. From ExitBy on, connections only wait for the
+// answers that they owe. Shutdown returns when all connections have ended, however late their answers are, or ctx is done.
 func (f *Front) Shutdown(ctx context.Context, plan drain.ShutdownPlan) {
+	startedAt := time.Now().Add(-plan.AnnounceClose)
+	ended := f.ended()
 	f.advanceShutdown(func() { f.shutdown.announceClose = true })
-	sleep(ctx, plan.CloseIdle-plan.AnnounceClose)
-	f.advanceShutdown(f.closeListener)
-	closeAllTimer := time.AfterFunc(plan.AnswerBy-plan.CloseIdle, func() {
-		f.advanceShutdown(func() { f.shutdown.closeAll = true })
-	})
-	defer closeAllTimer.Stop()
+	for _, step := range []struct {
+		at     time.Duration // from startedAt
+		change func()
+	}{
+		{plan.CloseIdle, f.closeListener},
+		{plan.AnswerBy, func() { f.shutdown.closeAll = true }},
+		{plan.ExitBy, func() { f.shutdown.exit = true }},
+	} {
+		if !waitUntil(ctx, ended, startedAt.Add(step.at)) {
+			return
+		}
+		f.advanceShutdown(step.change)
+	}
+	select {
+	case <-ended:
+	case <-ctx.Done():
+		f.log.Warn("clients abandoned before they had read their answers", "connections", f.connCount())
+	}
+}
+
+// waitUntil waits until t. It returns false if ended is closed or ctx is done before.
+func waitUntil(ctx context.Context, ended <-chan struct{}, t time.Time) bool {
+	timer := time.NewTimer(time.Until(t))
+	defer timer.Stop()
 	select {
-	case <-f.ended():
+	case <-timer.C:
+		return true
+	case <-ended:
 	case <-ctx.Done():
 	}
+	return false
+}
+
+// connCount returns the number of connections with a slot.
+func (f *Front) connCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.conns)
 }
 
 // advanceShutdown calls change, which changes the stage, with mu held, and makes all connections check the stage.
@@ -42,16 +74,6 @@
 	f.wakeAll()
 }
 
-// sleep returns after wait, or once ctx is done.
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // closeListener starts the stage in which no connection is accepted and idle ones end. The caller holds mu.
 func (f *Front) closeListener() {
 	f.shutdown.closeIdle = true
