Validate a part's rows over Flight before they are read

Cause: the Arrow library compares only the last offset of a column with its data when it decodes a batch, and readPart read each row by its own offsets, on a goroutine without recovery. The stack of the panic names array.(*String).Value under readPart.

Change: the batch is validated as a whole before a row is read, and a panic of the library while it decodes becomes an error. Both fail the attempt, which may have run.

--- a/cmd/mothrouter/flight_server_test.go
+++ b/cmd/mothrouter/flight_server_test.go
@@ -97,6 +97,31 @@
 	return w.Close()
 }
 
+// sendRows sends a part's value in rows of one record batch.
+func sendRows(stream flight.DataStreamWriter, rows ...string) error {
+	schema := arrow.NewSchema([]arrow.Field{{Name: "value", Type: arrow.BinaryTypes.String}}, nil)
+	w := flight.NewRecordWriter(stream, ipc.WithSchema(schema))
+	b := array.NewRecordBuilder(memory.DefaultAllocator, schema)
+	for _, row := range rows {
+		b.Field(0).(*array.StringBuilder).Append(row)
+	}
+	if err := w.Write(b.NewRecordBatch()); err != nil {
+		return err
+	}
+	return w.Close()
+}
+
+// spoilingStream is a stream that changes one bit of each record batch, so that the offset between its first two rows lies
+// outside of the data.
+type spoilingStream struct{ flight.DataStreamWriter }
+
+func (s spoilingStream) Send(m *flight.FlightData) error {
+	if len(m.DataBody) > 0 {
+		m.DataBody[6] ^= 1 // of the second little-endian int32 of the offsets
+	}
+	return s.DataStreamWriter.Send(m)
+}
+
 // startFlightServer starts a record server that speaks Flight.
 func (r *exchangeReplayer) startFlightServer(
 	name string, answer func(mothflight.PartTicket, flight.FlightService_DoGetServer) error,
--- a/cmd/mothrouter/flight_test.go
+++ b/cmd/mothrouter/flight_test.go
@@ -108,6 +108,27 @@
 	require.Equal(t, []string{"q1.0", "q1.0"}, append(servers[0].receivedParts(), servers[1].receivedParts()...))
 }
 
+// TestFlightSurvivesSpoiltPart guards against a process that ends because of one bit in a record server's answer. The part counts
+// as failed: a tariff-report is retried, and other queries are served meanwhile.
+func TestFlightSurvivesSpoiltPart(t *testing.T) {
+	replayer := newReplayer(t)
+	var once sync.Once
+	replayer.startFlightServer("s0", func(part mothflight.PartTicket, stream flight.FlightService_DoGetServer) error {
+		spoilt := false
+		once.Do(func() { spoilt = true })
+		if spoilt {
+			return sendRows(spoilingStream{stream}, "v", fmt.Sprint(part.Partition))
+		}
+		return answerPart(part, stream)
+	})
+	client := replayer.startFlight(`"s0"`, "s0")
+	for i := range 3 {
+		answer, err := fetchAnswer(shortContext(t), client, queryTicket(fmt.Sprint("q", i), "tariff-report", 2))
+		require.NoError(t, err)
+		require.Equal(t, map[int32]string{0: "v0", 1: "v1"}, answer.values)
+	}
+}
+
 // A charge-post part whose stream ends without a status may have run: it is neither retried nor rejected.
 func TestFlightNeverRetriesNonIdempotentAfterReset(t *testing.T) {
 	replayer := newReplayer(t)
--- a/internal/transport/flight/readpart.go
+++ b/internal/transport/flight/readpart.go
@@ -7,6 +7,7 @@
 	"io"
 	"strconv"
 
+	"github.com/apache/arrow-go/v18/arrow"
 	"github.com/apache/arrow-go/v18/arrow/array"
 	"github.com/apache/arrow-go/v18/arrow/flight"
 
@@ -18,9 +19,21 @@
 
 var errValueTooLong = fmt.Errorf("the value of the part exceeds %d bytes", httpwire.MaxBody)
 
-// readPart reads the stream of a part until its status. Only a stream that ends with OK has delivered the part.
-func readPart(stream flight.FlightService_DoGetClient) (broker.CallResult, error) {
-	part := broker.CallResult{Status: decision.OK, LoadReport: decision.NoLoadReport, Value: []byte{}}
+// errMalformed is the error of Arrow data that cannot be decoded.
+var errMalformed = errors.New("malformed Arrow data")
+
+// recoverMalformed turns a panic of a library that decodes Arrow data into an error. It must be deferred.
+func recoverMalformed(err *error) {
+	if reason := recover(); reason != nil {
+		*err = fmt.Errorf("%w: %v", errMalformed, reason)
+	}
+}
+
+// readPart reads the stream of a part until its status. Only a stream that ends with OK has delivered the part. It returns
+// errMalformed for data that cannot be decoded.
+func readPart(stream flight.DataStreamReader) (part broker.CallResult, err error) {
+	defer recoverMalformed(&err) // the Arrow library panics on some malformed messages
+	part = broker.CallResult{Status: decision.OK, LoadReport: decision.NoLoadReport, Value: []byte{}}
 	r, err := flight.NewRecordReader(stream)
 	if err != nil {
 		return part, err
@@ -31,15 +44,8 @@
 		return part, fmt.Errorf("the schema of the part has %d columns named value, want 1", len(columns))
 	}
 	for r.Next() {
-		rows, ok := r.RecordBatch().Column(columns[0]).(*array.String)
-		if !ok {
-			return part, fmt.Errorf("the column named value has the type %v, want utf8", r.Schema().Field(columns[0]).Type)
-		}
-		for i := range rows.Len() {
-			part.Value = append(part.Value, rows.Value(i)...)
-			if len(part.Value) > httpwire.MaxBody {
-				return part, errValueTooLong
-			}
+		if part.Value, err = appendRows(part.Value, r.RecordBatch(), columns[0]); err != nil {
+			return part, err
 		}
 		readMetadata(r.LatestAppMetadata(), &part)
 	}
@@ -49,6 +55,25 @@
 	return part, nil
 }
 
+// appendRows appends the rows of a column to a part's value. It validates the batch first: the library decodes a batch without
+// a look at most of its offsets, and panics when a row is read whose offsets are out of range.
+func appendRows(value []byte, batch arrow.RecordBatch, column int) ([]byte, error) {
+	if err := array.ValidateRecordFull(batch); err != nil {
+		return nil, fmt.Errorf("%w: %w", errMalformed, err)
+	}
+	rows, ok := batch.Column(column).(*array.String)
+	if !ok {
+		return nil, fmt.Errorf("the column named value has the type %v, want utf8", batch.Column(column).DataType())
+	}
+	for i := range rows.Len() {
+		value = append(value, rows.Value(i)...)
+		if len(value) > httpwire.MaxBody {
+			return nil, errValueTooLong
+		}
+	}
+	return value, nil
+}
+
 // scoreName is the name of a part's score in the metadata.
 const scoreName = "score"
 
