Verify the lengths in a Flight message's header before they allocate memory

Cause: the Arrow library allocates memory by lengths in the message's flatbuffer, without comparing them with its size, and the Go runtime ends a process that cannot allocate; no recovery is possible. TestReadPartSurvivesEverySpoiltBit, which changes each single bit of intact parts, ended the test process on the commit before: out of memory in ipc.schemaFromFB (29.5 GB asked for), and with the schema's lengths verified in ipc.loadBinaryView (0.96 TB).

Change: verifyHeader checks all vectors, the nesting and the number of columns before the library decodes a message, rejects view columns, whose buffers the library does not count, and limitedAllocator bounds decompressed data to 256 KiB for a part. It reads the header with the flatbuffers library, which was an indirect dependency. The tests pass with and without the race detector.

--- a/internal/transport/flight/readpart.go
+++ b/internal/transport/flight/readpart.go
@@ -10,6 +10,7 @@
 	"github.com/apache/arrow-go/v18/arrow"
 	"github.com/apache/arrow-go/v18/arrow/array"
 	"github.com/apache/arrow-go/v18/arrow/flight"
+	"github.com/apache/arrow-go/v18/arrow/ipc"
 
 	"mothrouter/internal/broker"
 	"mothrouter/internal/decision"
@@ -19,22 +20,12 @@
 
 var errValueTooLong = fmt.Errorf("the value of the part exceeds %d bytes", httpwire.MaxBody)
 
-// errMalformed is the error of Arrow data that cannot be decoded.
-var errMalformed = errors.New("malformed Arrow data")
-
-// recoverMalformed turns a panic of a library that decodes Arrow data into an error. It must be deferred.
-func recoverMalformed(err *error) {
-	if reason := recover(); reason != nil {
-		*err = fmt.Errorf("%w: %v", errMalformed, reason)
-	}
-}
-
 // readPart reads the stream of a part until its status. Only a stream that ends with OK has delivered the part. It returns
 // errMalformed for data that cannot be decoded.
 func readPart(stream flight.DataStreamReader) (part broker.CallResult, err error) {
 	defer recoverMalformed(&err) // the Arrow library panics on some malformed messages
 	part = broker.CallResult{Status: decision.OK, LoadReport: decision.NoLoadReport, Value: []byte{}}
-	r, err := flight.NewRecordReader(stream)
+	r, err := flight.NewRecordReader(verifiedStream{stream}, ipc.WithAllocator(&limitedAllocator{remaining: maxDecodedBytes}))
 	if err != nil {
 		return part, err
 	}
