Bound the headers and trailers of record servers over Flight to 8 KiB

The front already has 8 KiB; both use the same bound now. A part that exceeds it has no answer. TestFlightBoundsTrailersOfRecordServers (64 KiB) fails on the commit before.

--- a/cmd/mothrouter/flight_test.go
+++ b/cmd/mothrouter/flight_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/genproto/googleapis/rpc/errdetails"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 
 	mothflight "mothrouter/internal/transport/flight"
@@ -129,6 +130,21 @@
 	}
 }
 
+// TestFlightBoundsTrailersOfRecordServers guards against memory that a record server can fill with the trailer of an answer. A part
+// whose trailer exceeds the bound has no answer.
+func TestFlightBoundsTrailersOfRecordServers(t *testing.T) {
+	for size, want := range map[int]codes.Code{1 << 10: codes.OK, 64 << 10: codes.Aborted} {
+		replayer := newReplayer(t)
+		replayer.startFlightServer("s0", func(part mothflight.PartTicket, stream flight.FlightService_DoGetServer) error {
+			stream.SetTrailer(metadata.Pairs("text", strings.Repeat("x", size)))
+			return answerPart(part, stream)
+		})
+		client := replayer.startFlight(`"s0"`, "s0")
+		_, err := fetchAnswer(shortContext(t), client, queryTicket("q", "charge-post", 1))
+		require.Equal(t, want, status.Code(err), "%d bytes: %v", size, err)
+	}
+}
+
 // A charge-post part whose stream ends without a status may have run: it is neither retried nor rejected.
 func TestFlightNeverRetriesNonIdempotentAfterReset(t *testing.T) {
 	replayer := newReplayer(t)
--- a/internal/transport/flight/channel.go
+++ b/internal/transport/flight/channel.go
@@ -58,6 +58,7 @@
 			Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second},
 			MinConnectTimeout: l.opt.ConnectTimeout,
 		}),
+		grpc.WithMaxHeaderListSize(maxHeaderListSize),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageSize)),
 	)
 	if err != nil {
--- a/internal/transport/flight/flight.go
+++ b/internal/transport/flight/flight.go
@@ -21,6 +21,9 @@
 // maxMessageSize is the largest gRPC message in bytes: the body of a query and the fields around it.
 const maxMessageSize = httpwire.MaxBody + 4<<10
 
+// maxHeaderListSize is the largest header or trailer of a call, in bytes, from clients and from record servers.
+const maxHeaderListSize = 8 << 10
+
 // Ticket requests a query from a broker: the body of an HTTP query with the values of its headers. The client's deadline is
 // that of the gRPC call.
 type Ticket struct {
--- a/internal/transport/flight/front.go
+++ b/internal/transport/flight/front.go
@@ -64,7 +64,7 @@
 		grpc.InitialWindowSize(flowControlWindow),
 		grpc.InitialConnWindowSize(flowControlWindow),
 		grpc.StreamInterceptor(f.admit),
-		grpc.MaxHeaderListSize(8<<10),
+		grpc.MaxHeaderListSize(maxHeaderListSize),
 		grpc.ConnectionTimeout(10*time.Second),
 		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: 90 * time.Second}),
 	)
