Serve what a connection has read before it closes in a shutdown's last stage

Cause: from the last stage on, every response was the connection's last, whatever had been read behind its request; that stage begins when the core answers what is left, so either may come first.

Change: in the last stage a connection serves the requests that it has read, answers a partial one with 408, reads nothing more, and closes.

--- a/internal/transport/front/conn.go
+++ b/internal/transport/front/conn.go
@@ -22,6 +22,7 @@
 	readBuffers  chan []byte     // passes buffers to the reading goroutine
 	readResults  chan readResult // passes back the results of its reads
 	reading      bool            // a read is in progress
+	readingEnded bool            // no further read is started: only requests that have been read are served
 	discarding   bool            // the bytes of the read in progress will be discarded
 	readLog      readLog         // when the bytes of requests were received
 	disconnected atomic.Bool     // the client has closed the connection
--- a/internal/transport/front/conn_test.go
+++ b/internal/transport/front/conn_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -183,6 +184,75 @@
 	require.Less(t, (<-endTime).Sub(startedAt), time.Second)
 }
 
+// TestShutdownServesRequestsReadBeforeItsLastStage guards against requests that were read behind another one and are dropped as the
+// last stage of a shutdown begins before that one is answered.
+func TestShutdownServesRequestsReadBeforeItsLastStage(t *testing.T) {
+	for name, rest := range map[string]string{"complete": "", "and one in part": requestText("q4")[:60]} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, Options{MaxConns: 8})
+			client, in, _ := f.dial()
+			fmt.Fprint(client, requestText("q1")+requestText("q2")+requestText("q3")+rest)
+			q := <-f.submissions
+			time.Sleep(20 * time.Millisecond)
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				f.front.Shutdown(f.Context(), drain.ShutdownPlan{AnswerBy: 50 * time.Millisecond, ExitBy: time.Second})
+			}()
+			require.Eventually(t, func() bool { return f.front.stage().closeAll }, time.Second, time.Millisecond)
+			q.Finish(broker.Result{Outcome: broker.Rejected})
+			require.Equal(t, "HTTP/1.1 503 Service Unavailable", readStatusLine(t, in))
+			f.answerNext(in, "q2")
+			f.answerNext(in, "q3")
+			if rest != "" {
+				require.Equal(t, "HTTP/1.1 408 Request Timeout", readStatusLine(t, in))
+			}
+			_, err := in.ReadByte()
+			require.ErrorIs(t, err, io.EOF)
+			client.Close()
+			<-ended
+		})
+	}
+}
+
+// A client that always has requests under way cannot delay the end of a shutdown: in its last stage nothing more is read.
+func TestShutdownEndsWhileClientKeepsSending(t *testing.T) {
+	f := newFixture(t, Options{MaxConns: 8})
+	client, in, _ := f.dial()
+	const sentBefore = 20 // requests sent before the last stage
+	fmt.Fprint(client, strings.Repeat(requestText("q"), sentBefore))
+	go func() { // sends another request for each response
+		for {
+			line, err := in.ReadString('\n')
+			if err != nil {
+				return
+			}
+			if strings.HasPrefix(line, "HTTP/1.1 ") {
+				fmt.Fprint(client, requestText("q"))
+			}
+		}
+	}()
+	q := <-f.submissions
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		f.front.Shutdown(f.Context(), drain.ShutdownPlan{AnswerBy: 50 * time.Millisecond, ExitBy: 100 * time.Millisecond})
+	}()
+	require.Eventually(t, func() bool { return f.front.stage().exit }, time.Second, time.Millisecond)
+	timeout := time.After(2 * time.Second)
+	for served := 1; ; served++ {
+		require.LessOrEqual(t, served, sentBefore)
+		q.Finish(broker.Result{Outcome: broker.Rejected})
+		select {
+		case q = <-f.submissions:
+		case <-ended:
+			return
+		case <-timeout:
+			require.FailNow(t, "the shutdown did not end within 2 s")
+		}
+	}
+}
+
 // A shutdown waits for an answer that is given after ExitBy, as after a hold-up, but not for clients that have their answers and
 // do not close: they get exitLinger, also if they began to linger before ExitBy.
 func TestShutdownAwaitsLateAnswerButNotLingeringClients(t *testing.T) {
--- a/internal/transport/front/respond.go
+++ b/internal/transport/front/respond.go
@@ -216,8 +216,9 @@
 }
 
 // isLastResponse reports whether the response that is about to be written is the connection's last. During a shutdown or
-// drain, a request of which bytes have been read is still served: its client could not know that it was dropped. ok is false
-// if the client has closed the connection.
+// drain, a request of which bytes have been read is still served: its client could not know that it was dropped. In the last
+// stage nothing more is read, so that a client that keeps sending cannot delay the end. ok is false if the client has closed
+// the connection.
 func (c *conn) isLastResponse() (last, ok bool) {
 	stage := c.front.stage()
 	if c.closeAfter || !stage.announceClose {
@@ -226,7 +227,8 @@
 	if _, ok := c.interruptRead(); !ok {
 		return true, false
 	}
-	return stage.closeAll || c.closeAfter || !c.reader.Receiving(), true
+	c.readingEnded = stage.closeAll
+	return c.closeAfter || !c.reader.Receiving(), true
 }
 
 // send writes b and reports whether all of it was written.
