Count the stages of a shutdown from SIGTERM, also in a process that is replaced

Cause: shutDown waited for the error of a front until AnnounceClose, and the fronts counted from then on. A replaced process closes its listener at once, so Serve returns nil, which ended the wait.

Change: both fronts take the time of SIGTERM and count their stages from it. The wait is gone; with it the exit at once when a front fails within the first 0.5 s of a shutdown, which left requests in flight without an answer.

TestReplacedProcessKeepsShutdownSchedule fails on the code before (an answer says Connection: close after 0.25 s).

--- a/cmd/mothrouter/listener_handover_test.go
+++ b/cmd/mothrouter/listener_handover_test.go
@@ -60,6 +60,35 @@
 	}
 }
 
+// TestReplacedProcessKeepsShutdownSchedule guards against a replaced process that runs through its shutdown early because its
+// listener has closed: answers announce the close only 0.5 s after SIGTERM, and idle connections are served up to 1.5 s.
+func TestReplacedProcessKeepsShutdownSchedule(t *testing.T) {
+	t.Parallel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	file, err := listener.(*net.TCPListener).File()
+	require.NoError(t, err)
+	defer file.Close()
+	b := startServingBrokerWith(t, brokerOptions{
+		listen: listener.Addr().String(), env: []string{"PROXY_ACCEPT_FD=3"}, files: []*os.File{file},
+	})
+	client := b.dial()
+	require.Contains(t, client.roundTrip(queryRequest("before")), " 200 ")
+	stoppedAt := time.Now()
+	require.NoError(t, b.cmd.Process.Signal(syscall.SIGTERM))
+	time.Sleep(250 * time.Millisecond)
+	response := client.roundTrip(queryRequest("early"))
+	require.Contains(t, response, " 200 ")
+	require.NotContains(t, response, "Connection: close")
+	time.Sleep(time.Until(stoppedAt.Add(1250 * time.Millisecond)))
+	response = client.roundTrip(queryRequest("late"))
+	require.Contains(t, response, " 200 ")
+	require.Contains(t, response, "Connection: close")
+	client.Close()
+	require.NoError(t, b.cmd.Wait())
+}
+
 func TestAcceptFDRejectsBadDescriptor(t *testing.T) {
 	t.Parallel()
 	for fd, want := range map[string]string{"7": "PROXY_ACCEPT_FD: 7 is not a listening socket", "two": "PROXY_ACCEPT_FD: \"two\"",
--- a/cmd/mothrouter/process.go
+++ b/cmd/mothrouter/process.go
@@ -91,9 +91,7 @@
 	if err != nil {
 		return err
 	}
-	if err := p.shutDown(); err != nil {
-		return err
-	}
+	p.shutDown()
 	cancel()
 	return cause
 }
--- a/cmd/mothrouter/shutdown.go
+++ b/cmd/mothrouter/shutdown.go
@@ -10,9 +10,8 @@
 
 // shutDown shuts the process down gracefully: it answers the accepted requests and closes client connections at the times
 // of a drain.ShutdownPlan, and returns once every accepted request has its answer, also if that is late because the process
-// was held up. The plan is made once: a later revision does not change it. It returns the error of a front that fails before
-// answers announce that their connections close.
-func (p *process) shutDown() error {
+// was held up. The plan is made once: a later revision does not change it.
+func (p *process) shutDown() {
 	p.log.Info("shutting down")
 	startedAt := time.Now()
 	plan := drain.PlanShutdown(p.longestDeadline())
@@ -22,32 +21,16 @@
 			p.log.Warn("closing the listener failed", "error", err)
 		}
 	}
-	if err := p.waitForFrontError(plan.AnnounceClose); err != nil {
-		return err
-	}
 	ctx, cancel := context.WithDeadline(p.ctx, startedAt.Add(plan.AbandonBy))
 	defer cancel()
 	var fronts sync.WaitGroup
-	fronts.Go(func() { p.clientFront.Shutdown(ctx, plan) })
+	fronts.Go(func() { p.clientFront.Shutdown(ctx, startedAt, plan) })
 	if p.flightFront != nil {
-		fronts.Go(func() { p.flightFront.Shutdown(ctx, plan) })
+		fronts.Go(func() { p.flightFront.Shutdown(ctx, startedAt, plan) })
 	}
 	fronts.Wait()
 	p.core.Drain(ctx)
 	p.log.Info("shut down", "duration", time.Since(startedAt), "unanswered queries", p.core.Gauges().Queries)
-	return nil
-}
-
-// waitForFrontError waits until a front ends and returns its error, or returns nil once the timeout has passed.
-func (p *process) waitForFrontError(timeout time.Duration) error {
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
-	select {
-	case err := <-p.frontErrors:
-		return err
-	case <-timer.C:
-		return nil
-	}
 }
 
 // longestDeadline returns the longest deadline among the classes in force and those under which queries in flight were
--- a/internal/transport/flight/front.go
+++ b/internal/transport/flight/front.go
@@ -82,11 +82,11 @@
 // than a process may be held up.
 const flushTimeout = 300 * time.Millisecond
 
-// Shutdown is called at AnnounceClose of the plan. It accepts no new calls, and returns when those in flight have ended with
-// their statuses and all connections have closed. Connections without calls are closed after ExitBy, all of them when ctx is
-// done.
-func (f *Front) Shutdown(ctx context.Context, plan drain.ShutdownPlan) {
-	exitAt := time.Now().Add(plan.ExitBy - plan.AnnounceClose)
+// Shutdown ends the front at the times of the plan, which count from startedAt. From AnnounceClose on it accepts no new calls. It
+// returns when those in flight have ended with their statuses and all connections have closed. Connections without calls are
+// closed after ExitBy, all of them when ctx is done.
+func (f *Front) Shutdown(ctx context.Context, startedAt time.Time, plan drain.ShutdownPlan) {
+	sleepUntil(ctx, startedAt.Add(plan.AnnounceClose))
 	stopped := make(chan struct{})
 	go func() {
 		f.server.GracefulStop()
@@ -96,7 +96,7 @@
 	defer cancel()
 	go func() {
 		defer cancel()
-		sleepUntil(ctx, exitAt)
+		sleepUntil(ctx, startedAt.Add(plan.ExitBy))
 		f.awaitCalls(ctx)
 		sleepUntil(ctx, time.Now().Add(flushTimeout))
 	}()
--- a/internal/transport/front/conn_test.go
+++ b/internal/transport/front/conn_test.go
@@ -25,7 +25,7 @@
 			f.roundTrip(client, in, "other")
 		},
 		"shutdown": func(f *fixture) {
-			go f.front.Shutdown(f.Context(), drain.ShutdownPlan{AnswerBy: time.Second})
+			go f.front.Shutdown(f.Context(), time.Now(), drain.ShutdownPlan{AnswerBy: time.Second})
 		},
 		"drain": func(f *fixture) {
 			f.front.mu.Lock()
@@ -136,7 +136,7 @@
 			q := <-f.submissions
 			fmt.Fprint(client, second)
 			time.Sleep(20 * time.Millisecond)
-			go f.front.Shutdown(f.Context(), drain.ShutdownPlan{AnswerBy: time.Second, CloseIdle: 500 * time.Millisecond})
+			go f.front.Shutdown(f.Context(), time.Now(), drain.ShutdownPlan{AnswerBy: time.Second, CloseIdle: 500 * time.Millisecond})
 			require.Eventually(t, func() bool { return f.front.stage().announceClose }, time.Second, time.Millisecond)
 			q.Finish(broker.Result{Complete: true})
 			require.Equal(t, "HTTP/1.1 200 OK", readStatusLine(t, in))
@@ -172,7 +172,7 @@
 	endTime := make(chan time.Time, 1)
 	startedAt := time.Now()
 	go func() {
-		f.front.Shutdown(f.Context(), drain.ShutdownPlan{AnswerBy: 300 * time.Millisecond, CloseIdle: 50 * time.Millisecond})
+		f.front.Shutdown(f.Context(), time.Now(), drain.ShutdownPlan{AnswerBy: 300 * time.Millisecond, CloseIdle: 50 * time.Millisecond})
 		endTime <- time.Now()
 	}()
 	time.Sleep(100 * time.Millisecond)
@@ -197,7 +197,7 @@
 			ended := make(chan struct{})
 			go func() {
 				defer close(ended)
-				f.front.Shutdown(f.Context(), drain.ShutdownPlan{AnswerBy: 50 * time.Millisecond, ExitBy: time.Second})
+				f.front.Shutdown(f.Context(), time.Now(), drain.ShutdownPlan{AnswerBy: 50 * time.Millisecond, ExitBy: time.Second})
 			}()
 			require.Eventually(t, func() bool { return f.front.stage().closeAll }, time.Second, time.Millisecond)
 			q.Finish(broker.Result{Outcome: broker.Rejected})
@@ -236,7 +236,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		f.front.Shutdown(f.Context(), drain.ShutdownPlan{AnswerBy: 50 * time.Millisecond, ExitBy: 100 * time.Millisecond})
+		f.front.Shutdown(f.Context(), time.Now(), drain.ShutdownPlan{AnswerBy: 50 * time.Millisecond, ExitBy: 100 * time.Millisecond})
 	}()
 	require.Eventually(t, func() bool { return f.front.stage().exit }, time.Second, time.Millisecond)
 	timeout := time.After(2 * time.Second)
@@ -266,7 +266,7 @@
 	f.awaitReceiving(1)
 	ended := make(chan time.Time, 1)
 	go func() {
-		f.front.Shutdown(f.Context(), drain.ShutdownPlan{AnswerBy: 250 * time.Millisecond, ExitBy: 300 * time.Millisecond})
+		f.front.Shutdown(f.Context(), time.Now(), drain.ShutdownPlan{AnswerBy: 250 * time.Millisecond, ExitBy: 300 * time.Millisecond})
 		ended <- time.Now()
 	}()
 	require.Equal(t, "HTTP/1.1 408 Request Timeout", readStatusLine(t, lingeringIn)) // at AnswerBy
--- a/internal/transport/front/shutdown.go
+++ b/internal/transport/front/shutdown.go
@@ -17,19 +17,18 @@
 	exit          bool // the process exits once every request has its answer: clients are no longer given time to close
 }
 
-// Shutdown ends the front in the stages of the plan; it is called at AnnounceClose. First, answers announce that the
+// Shutdown ends the front in the stages of the plan, whose times count from startedAt. First, answers announce that the
 // connection closes, and clients may use each connection once more: closing all at once would make every client reconnect at
 // the same moment, perhaps without a broker to connect to. Then the listener and idle connections close, the others after their
 // answers. At AnswerBy, connections that have received part of a request end too. From ExitBy on, connections only wait for the
 // answers that they owe. Shutdown returns when all connections have ended, however late their answers are, or ctx is done.
-func (f *Front) Shutdown(ctx context.Context, plan drain.ShutdownPlan) {
-	startedAt := time.Now().Add(-plan.AnnounceClose)
+func (f *Front) Shutdown(ctx context.Context, startedAt time.Time, plan drain.ShutdownPlan) {
 	ended := f.ended()
-	f.advanceShutdown(func() { f.shutdown.announceClose = true })
 	for _, step := range []struct {
 		at     time.Duration // from startedAt
 		change func()
 	}{
+		{plan.AnnounceClose, func() { f.shutdown.announceClose = true }},
 		{plan.CloseIdle, f.closeListener},
 		{plan.AnswerBy, func() { f.shutdown.closeAll = true }},
 		{plan.ExitBy, func() { f.shutdown.exit = true }},
