Shut down gracefully when a front fails

Found by reading the ways in which a process ends: an error of a front returned from run at once, and callers with requests in flight, on any front, would have seen a reset. gRPC's server ends on an accept error that is not temporary, such as no memory for a socket.

Change: run always passes through the shutdown, whatever the cause, logs it, and returns it afterwards.

--- a/cmd/mothrouter/process.go
+++ b/cmd/mothrouter/process.go
@@ -78,8 +78,8 @@
 	}
 	var cancel context.CancelFunc
 	p.ctx, cancel = context.WithCancel(context.Background())
-	defer cancel()
 	defer p.components.Stop()
+	defer cancel() // before the components stop
 	if err := p.assemble(); err != nil {
 		return err
 	}
@@ -87,12 +87,17 @@
 	if err := p.serve(); err != nil {
 		return err
 	}
-	cause, err := p.wait()
-	if err != nil {
-		return err
+	return p.serveUntilStopped()
+}
+
+// serveUntilStopped serves until the process has to stop, and then shuts it down gracefully whatever the cause, so that accepted
+// requests are answered. It returns the cause, which is nil after a signal.
+func (p *process) serveUntilStopped() error {
+	cause := p.wait()
+	if cause != nil {
+		p.log.Error("stopping after a failure", "error", cause)
 	}
 	p.shutDown()
-	cancel()
 	return cause
 }
 
@@ -135,15 +140,14 @@
 	go reload(p.reloadSignals, p.startConfig, p.discoverySwitch, p.log)
 }
 
-// wait waits until the process has to stop. If err is not nil, the process exits at once with err. Otherwise it shuts down
-// gracefully and then exits with cause, which is nil after a signal.
-func (p *process) wait() (cause, err error) {
+// wait waits until the process has to stop and returns the cause, which is nil after a signal.
+func (p *process) wait() error {
 	select {
 	case err := <-p.frontErrors:
-		return nil, err
+		return err
 	case <-p.stopSignals:
-		return nil, nil
+		return nil
 	case <-p.workerFailed:
-		return errors.New("a worker panicked; the queries of the other workers were answered"), nil
+		return errors.New("a worker panicked; the queries of the other workers were answered")
 	}
 }
