Check a front's failure at the moment when the process would exit

The test of the commit before let the core run on after the function had returned, so it passed with the early return put back, against what that commit says. It now looks at the queries in flight as the function returns; with the early return put back it fails (1 query in flight). The fix itself is unchanged.

--- a/cmd/mothrouter/shutdown_test.go
+++ b/cmd/mothrouter/shutdown_test.go
@@ -60,13 +60,10 @@
 	require.Eventually(t, func() bool { return p.core.Gauges().Queries == 1 }, 5*time.Second, time.Millisecond)
 	failure := errors.New("accept: cannot allocate memory")
 	p.frontErrors <- failure
-	stopped := make(chan error, 1)
-	go func() { stopped <- p.serveUntilStopped() }()
-	client.SetReadDeadline(time.Now().Add(5 * time.Second))
+	require.Equal(t, failure, p.serveUntilStopped())
+	require.Zero(t, p.core.Gauges().Queries, "the function returned, upon which the process exits")
+	client.SetReadDeadline(time.Now().Add(time.Second))
 	line, err := bufio.NewReader(client).ReadString('\n')
 	require.NoError(t, err)
 	require.Contains(t, line, "HTTP/1.1 50")
-	client.Close()
-	require.Equal(t, failure, <-stopped)
-	require.Zero(t, p.core.Gauges().Queries)
 }
