End a replaced process though its shared socket blocks

Cause: processes share the blocking mode of the socket, and the start of the next one may put it back into blocking mode. The next accept blocks in a system call, and the first step of the shutdown, closing the listener, waits for it. The stacks show both.

Change: the socket is put into non-blocking mode before each accept, and the shutdown does not wait for the close.

--- a/cmd/mothrouter/listener_handover_test.go
+++ b/cmd/mothrouter/listener_handover_test.go
@@ -89,6 +89,33 @@
 	require.NoError(t, b.cmd.Wait())
 }
 
+// TestReplacedProcessEndsThoughSocketBlocks guards against a replaced process that never ends because the platform, or the start of
+// the next process, has put the shared listening socket back into blocking mode: closing it then waits for a blocked accept.
+func TestReplacedProcessEndsThoughSocketBlocks(t *testing.T) {
+	t.Parallel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	file, err := listener.(*net.TCPListener).File()
+	require.NoError(t, err)
+	defer file.Close()
+	b := startServingBrokerWith(t, brokerOptions{
+		listen: listener.Addr().String(), env: []string{"PROXY_ACCEPT_FD=3"}, files: []*os.File{file},
+	})
+	require.NoError(t, syscall.SetNonblock(int(file.Fd()), false))
+	client := b.dial() // accepted; the next accept blocks
+	require.Contains(t, client.roundTrip(readinessRequest), " 200 ")
+	require.Contains(t, b.dial().roundTrip(queryRequest("q1")), " 200 ")
+	stoppedAt := time.Now()
+	require.NoError(t, b.cmd.Process.Signal(syscall.SIGTERM))
+	time.Sleep(200 * time.Millisecond)
+	require.Contains(t, client.roundTrip(queryRequest("q2")), " 200 ")
+	client.Close()
+	sigkill := time.AfterFunc(time.Until(stoppedAt.Add(3700*time.Millisecond)), func() { b.cmd.Process.Kill() })
+	defer sigkill.Stop()
+	require.NoError(t, b.cmd.Wait(), "the process had not ended by itself")
+}
+
 func TestAcceptFDRejectsBadDescriptor(t *testing.T) {
 	t.Parallel()
 	for fd, want := range map[string]string{"7": "PROXY_ACCEPT_FD: 7 is not a listening socket", "two": "PROXY_ACCEPT_FD: \"two\"",
--- a/cmd/mothrouter/serve.go
+++ b/cmd/mothrouter/serve.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"os"
+	"syscall"
 
 	"mothrouter/internal/admin"
 	"mothrouter/internal/broker"
@@ -90,7 +91,30 @@
 	if err != nil {
 		return nil, fmt.Errorf("PROXY_ACCEPT_FD: %d is not a listening socket: %w", cfg.AcceptFD, err)
 	}
-	return l, nil
+	inherited := inheritedListener{Listener: l}
+	if conn, ok := l.(syscall.Conn); ok {
+		if inherited.socket, err = conn.SyscallConn(); err != nil {
+			return nil, fmt.Errorf("PROXY_ACCEPT_FD: %w", err)
+		}
+	}
+	return inherited, nil
+}
+
+// inheritedListener is a listener whose socket other processes use, too. They share its blocking mode, and the start of another
+// process may put it back into blocking mode. An accept that blocks in a system call cannot be interrupted: closing the listener
+// would wait until another client connects.
+type inheritedListener struct {
+	net.Listener
+	socket syscall.RawConn // nil if the listener does not give access to its socket
+}
+
+// Accept puts the socket into non-blocking mode and waits for the next connection.
+func (l inheritedListener) Accept() (net.Conn, error) {
+	if l.socket != nil {
+		// An error means that the listener has been closed, which Accept returns, too.
+		_ = l.socket.Control(func(fd uintptr) { _ = syscall.SetNonblock(int(fd), true) })
+	}
+	return l.Listener.Accept()
 }
 
 // drainAwareCore is the core that the Flight front submits to. While a drain makes the HTTP front reject requests,
--- a/cmd/mothrouter/shutdown.go
+++ b/cmd/mothrouter/shutdown.go
@@ -17,9 +17,7 @@
 	plan := drain.PlanShutdown(p.longestDeadline())
 	p.core.SetShutdownDeadline(startedAt.Add(plan.AnswerBy))
 	if p.startConfig.AcceptFD != 0 { // another process shares the inherited socket and accepts new connections
-		if err := p.listener.Close(); err != nil {
-			p.log.Warn("closing the listener failed", "error", err)
-		}
+		go p.closeListener() // waits if another process has just made an accept block
 	}
 	ctx, cancel := context.WithDeadline(p.ctx, startedAt.Add(plan.AbandonBy))
 	defer cancel()
@@ -33,6 +31,13 @@
 	p.log.Info("shut down", "duration", time.Since(startedAt), "unanswered queries", p.core.Gauges().Queries)
 }
 
+// closeListener closes the listener for clients.
+func (p *process) closeListener() {
+	if err := p.listener.Close(); err != nil {
+		p.log.Warn("closing the listener failed", "error", err)
+	}
+}
+
 // longestDeadline returns the longest deadline among the classes in force and those under which queries in flight were
 // accepted.
 func (p *process) longestDeadline() time.Duration {
