--- a/cmd/mothrouter/config_command.go
+++ b/cmd/mothrouter/config_command.go
@@ -53,8 +53,11 @@
 		}
 		ctx, cancel := context.WithTimeout(cmd.Context(), *timeout)
 		defer cancel()
-		number, err := operatorclient.Publish(ctx, *addresses,
-			&configpb.PublishRequest{Document: document, Expected: *expect, Request: id})
+		publish := operatorclient.Publish
+		if *request != "" {
+			publish = operatorclient.Retry
+		}
+		number, err := publish(ctx, *addresses, &configpb.PublishRequest{Document: document, Expected: *expect, Request: id})
 		if err == nil {
 			fmt.Fprintf(cmd.OutOrStdout(), "committed as %d\n", number)
 			return nil
--- a/internal/controlplane/operatorclient/errors.go
+++ b/internal/controlplane/operatorclient/errors.go
@@ -14,8 +14,8 @@
 // Error implements error.
 func (e *RejectedError) Error() string { return fmt.Sprintf("refused by %s: %s", e.Key, e.Reason) }
 
-// UnavailableError is returned if it is certain that no control machine has accepted a publication. The document was not
-// committed.
+// UnavailableError is returned if it is certain that no control machine has accepted a publication, in this call or in an
+// earlier one with the same request id. The document was not committed.
 type UnavailableError struct {
 	Last error // of the last attempt
 }
--- a/internal/controlplane/operatorclient/operatorclient_test.go
+++ b/internal/controlplane/operatorclient/operatorclient_test.go
@@ -86,6 +86,26 @@
 	require.Len(t, m.requests, 1)
 }
 
+// TestRetryNeverReportsUnavailable guards against a retry that is reported as certainly not committed, although an attempt of an
+// earlier call under the same request id can still be committed.
+func TestRetryNeverReportsUnavailable(t *testing.T) {
+	_, notAppending := startControlMachine(t, notAppended)
+	for name, addresses := range map[string][]string{
+		"no address": nil, "none reached": {"127.0.0.1:1"}, "no majority": {notAppending},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			_, err := operatorclient.Retry(ctx, addresses, &configpb.PublishRequest{Request: 5, Document: []byte("x")})
+			var unknown *operatorclient.OutcomeUnknownError
+			require.ErrorAs(t, err, &unknown)
+			_, err = publish(t, 300*time.Millisecond, addresses...)
+			var unavailable *operatorclient.UnavailableError
+			require.ErrorAs(t, err, &unavailable)
+		})
+	}
+}
+
 func TestPublishDistinguishesUnavailableFromUnknown(t *testing.T) {
 	const shortTimeout = 500 * time.Millisecond
 	_, notAppendingAddress := startControlMachine(t, notAppended)
--- a/internal/controlplane/operatorclient/publish.go
+++ b/internal/controlplane/operatorclient/publish.go
@@ -20,19 +20,31 @@
 	maxRetryBackoff = time.Second
 )
 
-// Publish publishes a document and returns the number of its revision. It tries the control machines in turn, with the
-// same request id, until the outcome is known or ctx ends. Its errors are *RejectedError, *UnavailableError and
+// Publish publishes a document under a new request id and returns the number of its revision. It tries the control machines in
+// turn, with the same request id, until the outcome is known or ctx ends. Its errors are *RejectedError, *UnavailableError and
 // *OutcomeUnknownError.
 func Publish(ctx context.Context, addresses []string, request *configpb.PublishRequest) (uint64, error) {
+	return publish(ctx, addresses, request, false)
+}
+
+// Retry publishes a document again, under the request id of an earlier call whose outcome is unknown. An attempt of that call may be
+// committed even if no control machine can be reached now, so Retry does not return *UnavailableError; otherwise it is like
+// Publish.
+func Retry(ctx context.Context, addresses []string, request *configpb.PublishRequest) (uint64, error) {
+	return publish(ctx, addresses, request, true)
+}
+
+// publish tries the control machines in turn. mayBeCommitted is whether an attempt under the same request id has an unknown
+// outcome.
+func publish(ctx context.Context, addresses []string, request *configpb.PublishRequest, mayBeCommitted bool) (uint64, error) {
 	if len(addresses) == 0 {
-		return 0, &UnavailableError{errNoAddress}
+		return 0, unavailableError(mayBeCommitted, errNoAddress)
 	}
-	var lastErr error
-	mayBeCommitted := false // an attempt had an unknown outcome
+	lastErr := error(context.DeadlineExceeded)
 	for backoff := minRetryBackoff; ; backoff = min(2*backoff, maxRetryBackoff) {
 		for _, address := range addresses {
 			if ctx.Err() != nil {
-				return 0, contextEndedError(mayBeCommitted, lastErr)
+				return 0, unavailableError(mayBeCommitted, lastErr)
 			}
 			number, err := publishTo(ctx, address, request)
 			var rejected *RejectedError
@@ -52,11 +64,8 @@
 	}
 }
 
-// contextEndedError returns the error of a publication whose context has ended.
-func contextEndedError(mayBeCommitted bool, lastErr error) error {
-	if lastErr == nil {
-		lastErr = context.DeadlineExceeded
-	}
+// unavailableError returns the error of a publication that no control machine has accepted now.
+func unavailableError(mayBeCommitted bool, lastErr error) error {
 	if mayBeCommitted {
 		return &OutcomeUnknownError{lastErr}
 	}
