--- a/internal/transport/front/connread.go
+++ b/internal/transport/front/connread.go
@@ -13,8 +13,8 @@
 	returnedAt time.Time // when the read returned
 }
 
-// startRead starts a read unless one is in progress or reading has ended. If MaxBufferedBytes leaves no memory for more of a request, it ends the
-// connection and returns false.
+// startRead starts a read unless one is in progress or reading has ended. If MaxBufferedBytes leaves no memory for more of a
+// request, it ends the connection and returns false.
 func (c *conn) startRead() bool {
 	if c.reading || c.readingEnded {
 		return true
