--- a/cmd/mothrouter/listener_handover_test.go
+++ b/cmd/mothrouter/listener_handover_test.go
@@ -13,6 +13,17 @@
 	"github.com/stretchr/testify/require"
 )
 
+// inheritedSocket opens a listening socket until the test ends, and returns the options of a process that inherits it.
+func inheritedSocket(t *testing.T) brokerOptions {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	file, err := listener.(*net.TCPListener).File()
+	require.NoError(t, err)
+	t.Cleanup(func() { file.Close() })
+	return brokerOptions{listen: listener.Addr().String(), env: []string{"PROXY_ACCEPT_FD=3"}, files: []*os.File{file}}
+}
+
 // Two processes share a listening socket that the platform keeps open. One of them is stopped, or killed, while clients keep
 // connecting: no connection is refused, and a process that is stopped answers the requests on the connections that it has
 // accepted.
@@ -20,14 +31,7 @@
 	for _, killed := range []bool{false, true} {
 		t.Run(fmt.Sprint("killed ", killed), func(t *testing.T) {
 			t.Parallel()
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			defer listener.Close()
-			file, err := listener.(*net.TCPListener).File()
-			require.NoError(t, err)
-			defer file.Close()
-			env := []string{"PROXY_ACCEPT_FD=3"}
-			options := brokerOptions{listen: listener.Addr().String(), env: env, files: []*os.File{file}}
+			options := inheritedSocket(t)
 			firstBroker := startServingBrokerWith(t, options)
 			startServingBrokerWith(t, options)
 			end := time.Now().Add(2500 * time.Millisecond)
@@ -40,7 +44,7 @@
 				}
 			})
 			for n := 0; time.Now().Before(end); n++ { // one connection for each query
-				c, err := net.Dial("tcp", listener.Addr().String())
+				c, err := net.Dial("tcp", options.listen)
 				require.NoError(t, err)
 				if strings.Contains((&clientConn{c, bufio.NewReader(c)}).roundTrip(queryRequest(fmt.Sprint("h", n))), " 200 ") {
 					served++
@@ -64,15 +68,8 @@
 // listener has closed: answers announce the close only 0.5 s after SIGTERM, and idle connections are served up to 1.5 s.
 func TestReplacedProcessKeepsShutdownSchedule(t *testing.T) {
 	t.Parallel()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer listener.Close()
-	file, err := listener.(*net.TCPListener).File()
-	require.NoError(t, err)
-	defer file.Close()
-	b := startServingBrokerWith(t, brokerOptions{
-		listen: listener.Addr().String(), env: []string{"PROXY_ACCEPT_FD=3"}, files: []*os.File{file},
-	})
+	options := inheritedSocket(t)
+	b := startServingBrokerWith(t, options)
 	client := b.dial()
 	require.Contains(t, client.roundTrip(queryRequest("before")), " 200 ")
 	stoppedAt := time.Now()
@@ -93,16 +90,9 @@
 // the next process, has put the shared listening socket back into blocking mode: closing it then waits for a blocked accept.
 func TestReplacedProcessEndsThoughSocketBlocks(t *testing.T) {
 	t.Parallel()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer listener.Close()
-	file, err := listener.(*net.TCPListener).File()
-	require.NoError(t, err)
-	defer file.Close()
-	b := startServingBrokerWith(t, brokerOptions{
-		listen: listener.Addr().String(), env: []string{"PROXY_ACCEPT_FD=3"}, files: []*os.File{file},
-	})
-	require.NoError(t, syscall.SetNonblock(int(file.Fd()), false))
+	options := inheritedSocket(t)
+	b := startServingBrokerWith(t, options)
+	require.NoError(t, syscall.SetNonblock(int(options.files[0].Fd()), false))
 	client := b.dial() // accepted; the next accept blocks
 	require.Contains(t, client.roundTrip(readinessRequest), " 200 ")
 	require.Contains(t, b.dial().roundTrip(queryRequest("q1")), " 200 ")
