--- a/review/second/broker.go
+++ b/review/second/broker.go
@@ -90,13 +90,14 @@
 	cmd    *exec.Cmd
 	listen string
 	folder string
+	config string        // path of its configuration
 	ended  chan struct{} // closed once it has ended
 }
 
-// startBroker starts a broker by the run command of the deploy file. accept is the clients' listening socket that it inherits,
+// startBroker starts a broker by the run command of the deploy file, with flags behind it. accept is the clients' listening socket that it inherits,
 // nil if it opens its own; control is where operators call it, empty for nowhere.
 func startBroker(folder, name, listen, control string, d deployment, known list, discoveryAddr string,
-	accept *os.File) (*brokerProcess, error) {
+	accept *os.File, flags ...string) (*brokerProcess, error) {
 	run, err := runCommand()
 	if err != nil {
 		return nil, err
@@ -115,7 +116,7 @@
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		return nil, err
 	}
-	cmd := exec.Command("/bin/sh", "-c", run)
+	cmd := exec.Command("/bin/sh", "-c", strings.Join(append([]string{run}, flags...), " "))
 	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+path, "PROXY_NAME="+name, "PROXY_LISTEN="+listen,
 		"PROXY_DISCOVERY="+discoveryAddr, "TMPDIR="+folder)
 	if accept != nil {
@@ -131,7 +132,7 @@
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
-	b := &brokerProcess{cmd: cmd, listen: listen, folder: folder, ended: make(chan struct{})}
+	b := &brokerProcess{cmd: cmd, listen: listen, folder: folder, config: path, ended: make(chan struct{})}
 	go func() {
 		_ = cmd.Wait() // how it has ended shows in its log
 		close(b.ended)
--- a/review/second/discovery.go
+++ b/review/second/discovery.go
@@ -34,14 +34,16 @@
 	listener net.Listener
 	indent   string // of each level; empty: an object stands on one line
 
-	mu      sync.Mutex
-	now     list              // the whole list
-	changes []list            // every change since the start
-	told    map[int]time.Time // when a version was first written, by version
-	changed chan struct{}     // closed at each change
-	watches int
-	endedAt int  // watches that were open when so many changes had been made have ended
-	ending  bool // the open watches end at the next change instead of telling it
+	mu       sync.Mutex
+	now      list              // the whole list
+	changes  []list            // every change since the start
+	told     map[int]time.Time // when a version was first written, by version
+	changed  chan struct{}     // closed at each change
+	watches  int
+	conns    map[net.Conn]struct{}
+	endedAt  int  // watches that were open when so many changes had been made have ended
+	endCalls int  // so many calls end without telling
+	ending   bool // the open watches end at the next change instead of telling it
 }
 
 // calls returns how many watches were opened.
@@ -63,7 +65,8 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &discovery{listener: l, indent: indent, now: first, told: map[int]time.Time{}, changed: make(chan struct{})}
+	d := &discovery{listener: l, indent: indent, now: first, told: map[int]time.Time{}, changed: make(chan struct{}),
+		conns: map[net.Conn]struct{}{}}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -79,7 +82,7 @@
 func (d *discovery) addr() string { return d.listener.Addr().String() }
 
 // change applies changed entries and tells them.
-func (d *discovery) change(changed []entry) (version int) {
+func (d *discovery) change(changed []entry) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.now.Version++
@@ -112,7 +115,6 @@
 	}
 	close(d.changed)
 	d.changed = make(chan struct{})
-	return d.now.Version
 }
 
 // toldAt returns when a version, or one after it, was first written to the broker; zero: it was not.
@@ -146,7 +148,15 @@
 
 // serve answers one call: the whole list, or a watch.
 func (d *discovery) serve(c net.Conn) {
-	defer c.Close()
+	d.mu.Lock()
+	d.conns[c] = struct{}{}
+	d.mu.Unlock()
+	defer func() {
+		c.Close()
+		d.mu.Lock()
+		delete(d.conns, c)
+		d.mu.Unlock()
+	}()
 	request, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
 		return
@@ -167,7 +177,16 @@
 	if _, err := c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")); err != nil {
 		return
 	}
-	d.follow(c)
+	d.mu.Lock()
+	ends := d.endCalls > 0
+	if ends {
+		d.endCalls--
+		d.watches++
+	}
+	d.mu.Unlock()
+	if !ends {
+		d.follow(c)
+	}
 }
 
 // follow writes the whole list, then each change, and an empty line every 2 s while there is none.
@@ -238,6 +257,18 @@
 
 func (d *discovery) close() { d.listener.Close() }
 
+// leave accepts no new connection from now on, and closes the open ones 1.5 s later.
+func (d *discovery) leave() {
+	d.listener.Close()
+	time.AfterFunc(1500*time.Millisecond, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		for c := range d.conns {
+			c.Close()
+		}
+	})
+}
+
 // entryOf returns the entry of a record server.
 func entryOf(s *recordServer, state string) entry {
 	return entry{ID: s.id, Addr: s.listener.Addr().String(), Zone: "bern-1", Kind: "std-2c", Cell: s.cell, State: state,
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -170,12 +170,12 @@
 }
 
 // broker starts a broker at a free address and waits until it is ready.
-func (p *play) broker(s *site, name string) (*brokerProcess, error) {
+func (p *play) broker(s *site, name string, flags ...string) (*brokerProcess, error) {
 	listen, err := freeAddr()
 	if err != nil {
 		return nil, err
 	}
-	b, err := startBroker(p.folder, name, listen, "", s.d, s.known, s.discovery.addr(), nil)
+	b, err := startBroker(p.folder, name, listen, "", s.d, s.known, s.discovery.addr(), nil, flags...)
 	if err != nil {
 		return nil, err
 	}
