Review case 10: attempts for Flight clients that have left begin a second later

Cause: the Flight front submits a call as soon as gRPC hands it over; beside a flood gRPC reads in turns that come slowly, so the close behind the calls is read much later. Change: the case, from the entry of TestClosedFlightConnectionSendsNothingOn. It takes the place of the one on SIGHUP, which stays as a trial. Brokers of the cases listen at addresses of their own, and the records count answers.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -5,4 +5,4 @@
   echo "build the deploy file and run review/build-2.sh first" >&2
   exit 2
 fi
-exec bin/second reload review/10
+exec bin/second flightleave review/10
--- a/review/second/broker.go
+++ b/review/second/broker.go
@@ -181,9 +181,9 @@
 	}
 }
 
-// freeAddr returns a loopback address that nobody listens at.
+// freeAddr returns a loopback address that nobody listens at. Stand-ins listen at 127.0.0.1, so none of them takes it meanwhile.
 func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250)))
 	if err != nil {
 		return "", err
 	}
--- a/review/second/reload.go
+++ b/review/second/reload.go
@@ -42,7 +42,11 @@
 	}
 	stop := make(chan struct{})
 	done := make(chan struct{})
-	go func() { steady(b.listen, d, 60, uint64(number), stop); close(done) }()
+	go func() {
+		sent, answers := steady(b.listen, d, 60, uint64(number), stop)
+		p.say("n%d: %d queries sent, answered by status: %v", number, sent, answers)
+		close(done)
+	}()
 	time.Sleep(3 * time.Second)
 	// The new agent has the drain.
 	next := s.known
--- a/review/second/watchend.go
+++ b/review/second/watchend.go
@@ -13,22 +13,31 @@
 // sockets.
 const drainSlack = 300 * time.Millisecond
 
-// steady sends queries of usage-lookup at a rate to a broker until stop is closed.
-func steady(addr string, d deployment, perSecond float64, seed uint64, stop <-chan struct{}) {
+// steady sends queries of usage-lookup at a rate to a broker until stop is closed, and returns how many it has sent and the answers by
+// status.
+func steady(addr string, d deployment, perSecond float64, seed uint64, stop <-chan struct{}) (sent int, answers map[int]int) {
 	rng := rand.New(rand.NewPCG(seed, 3))
 	pool := make(chan *client, 64)
+	answers = map[int]int{}
+	var mu sync.Mutex
 	var clients sync.WaitGroup
-	defer clients.Wait()
 	for next := time.Now(); ; {
 		next = next.Add(time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second)))
 		select {
 		case <-stop:
-			return
+			clients.Wait()
+			return sent, answers
 		case <-time.After(time.Until(next)):
 		}
 		text := request(fmt.Sprintf("%016x", rng.Uint64()), "usage-lookup", 4*time.Second,
 			queryBody(targets(rng.IntN(d.slabs), 4, d.slabs), "c41e77d0"))
-		clients.Go(func() { askKept(pool, addr, text, 5*time.Second) })
+		sent++
+		clients.Go(func() {
+			a := askKept(pool, addr, text, 5*time.Second)
+			mu.Lock()
+			defer mu.Unlock()
+			answers[a.status]++
+		})
 	}
 }
 
@@ -66,7 +75,11 @@
 	}
 	stop := make(chan struct{})
 	done := make(chan struct{})
-	go func() { steady(b.listen, d, perSecond, uint64(number), stop); close(done) }()
+	go func() {
+		sent, answers := steady(b.listen, d, perSecond, uint64(number), stop)
+		p.say("n%d: %d queries sent, answered by status: %v", number, sent, answers)
+		close(done)
+	}()
 	for end := time.Now().Add(10 * time.Second); s.discovery.calls() == 0; time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(end) {
 			return fmt.Errorf("no watch of broker n%d", number)
