Reject queries with members that are missing, null, repeated or unreadable

Cause: encoding/json leaves what is missing or null at zero, takes the last of repeated names, matches names without regard to case and replaces what is not UTF-8. Excluded: Normalize got shard 0, which exists; the link sent the text that it was given.

Change: package strictjson reads the bodies of both fronts by the parser of encoding/json/v2 (github.com/go-json-experiment/json, its mirror), and rejects null, missing members and names in another case. Unknown names are ignored as before.

--- a/internal/transport/flight/flight.go
+++ b/internal/transport/flight/flight.go
@@ -3,11 +3,11 @@
 package flight
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 
 	"github.com/apache/arrow-go/v18/arrow"
+	"github.com/go-json-experiment/json/jsontext"
 	"google.golang.org/genproto/googleapis/rpc/errdetails"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -16,6 +16,7 @@
 	"mothrouter/internal/broker"
 	"mothrouter/internal/transport/frame"
 	"mothrouter/internal/transport/httpwire"
+	"mothrouter/internal/transport/strictjson"
 )
 
 // maxMessageSize is the largest gRPC message in bytes: the body of a query and the fields around it.
@@ -33,6 +34,15 @@
 	httpwire.Body
 }
 
+// UnmarshalJSONFrom implements json.UnmarshalerFrom.
+func (t *Ticket) UnmarshalJSONFrom(decoder *jsontext.Decoder) error {
+	return strictjson.ReadObject(decoder, append(t.Members(),
+		strictjson.Member{Name: "id", Value: &t.ID},
+		strictjson.Member{Name: "class", Value: &t.Class},
+		strictjson.Member{Name: "retry", Value: &t.Retry, Optional: true},
+	)...)
+}
+
 // PartTicket requests one part from a record server.
 type PartTicket struct {
 	ID        string `json:"id"` // the query's id, a dot and the partition; with the suffix ".p2" in a second phase
@@ -136,7 +146,7 @@
 	if len(data) > maxMessageSize {
 		return nil, errors.New("the ticket is too long")
 	}
-	if err := json.Unmarshal(data, &t); err != nil {
+	if err := strictjson.Unmarshal(data, &t); err != nil {
 		return nil, fmt.Errorf("ticket: %w", err)
 	}
 	return &t, nil
