Accept weights that miss a sum of 1 only by their rounding

Cause: Normalize accepted sums and weights within 0.05 of 1, whatever the number of parts. No other check reads the sum.

Change: the sum may miss 1 by half a step a part, a hundredth where all weights are hundredths, else a thousandth, and by 0.05 at most; a weight is 1 at most.

--- a/internal/broker/request.go
+++ b/internal/broker/request.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -36,9 +37,12 @@
 }
 
 const (
-	maxIDLength = 64        // bytes; an id must fit into a line of the record servers' protocol
-	weightSlack = 0.05      // tolerance for the sum of the weights, which clients round
-	maxTimeout  = time.Hour // longer timeouts are client errors
+	maxIDLength      = 64   // bytes; an id must fit into a line of the record servers' protocol
+	weightEpsilon    = 1e-9 // tolerance for the rounding of float64
+	maxWeightSlack   = 0.05 // largest tolerance for the sum of the weights
+	coarseWeightStep = 0.01 // the coarsest step to which clients round weights
+	fineWeightStep   = 0.001
+	maxTimeout       = time.Hour // longer timeouts are client errors
 )
 
 // Normalize validates a request and scales its weights to a sum of 1: clients round them, and rounding must not make a complete
@@ -63,7 +67,7 @@
 		seenShards[p.Shard] = true
 		sum += p.Weight
 	}
-	if math.Abs(sum-1) > weightSlack {
+	if math.Abs(sum-1) > weightSlack(r.Parts) {
 		return fmt.Errorf("targets: the shares sum to %g, not 1", sum)
 	}
 	for i := range r.Parts {
@@ -72,13 +76,29 @@
 	return nil
 }
 
+// weightSlack returns by how much the weights may miss a sum of 1 because the client has rounded each of them: half a step a part,
+// maxWeightSlack at most. Weights that are all hundredths have been rounded to hundredths, others to thousandths or finer.
+func weightSlack(parts []Part) float64 {
+	step := fineWeightStep
+	if !slices.ContainsFunc(parts, func(p Part) bool { return !isHundredth(p.Weight) }) {
+		step = coarseWeightStep
+	}
+	return min(float64(len(parts))*step/2, maxWeightSlack) + weightEpsilon
+}
+
+// isHundredth reports whether a weight is a multiple of coarseWeightStep.
+func isHundredth(weight float64) bool {
+	steps := weight / coarseWeightStep
+	return math.Abs(steps-math.Round(steps)) < weightEpsilon
+}
+
 // validate checks the part at index in Request.Parts; duplicate is whether an earlier part has the same shard. The conditions
 // are written so that NaN fails them.
 func (p Part) validate(index, shards int, duplicate bool) error {
 	switch {
 	case p.Shard < 0 || duplicate || shards > 0 && p.Shard >= shards:
 		return fmt.Errorf("targets[%d].partition: %d does not exist or stands twice", index, p.Shard)
-	case !(p.Weight >= 0 && p.Weight <= 1+weightSlack):
+	case !(p.Weight >= 0 && p.Weight <= 1+weightEpsilon):
 		return fmt.Errorf("targets[%d].share: %g is outside 0 to 1", index, p.Weight)
 	case !(p.Work >= 0) || math.IsInf(p.Work, 0):
 		return fmt.Errorf("targets[%d].est_us: %g s is no time", index, p.Work)
