Reject repeated, empty and unreadable header fields of queries

Of two X-Request-Id, X-Class, X-Deadline, X-Retry or obj the first was served; an X-Retry that cannot be read, an empty X-Class and an obj that is not UTF-8 were served as though they were missing or fine.

Cause: MIMEHeader.Get and url.Values.Get return the first value, and an empty text for none.

Change: queryFields rejects a field that is repeated or empty, parseKey a repeated obj and one that is not UTF-8, parseRetry what is neither 0 nor 1. The class may still be named by the path alone.

--- a/internal/transport/httpwire/head.go
+++ b/internal/transport/httpwire/head.go
@@ -80,14 +80,30 @@
 	return nil
 }
 
-// queryFields returns the fields that a query has.
-func (h *head) queryFields() Fields {
-	return Fields{
-		ID:       h.header.Get("X-Request-Id"),
-		Class:    h.header.Get("X-Class"),
-		Deadline: h.header.Get("X-Deadline"),
-		Retry:    h.header.Get("X-Retry"),
+// queryFields returns the fields that a query has. A field that is repeated or empty is an error: it names nothing, or nothing that
+// all parsers agree on.
+func (h *head) queryFields() (fields Fields, err error) {
+	for _, field := range []struct {
+		name  string
+		value *string
+	}{
+		{"X-Request-Id", &fields.ID},
+		{"X-Class", &fields.Class},
+		{"X-Deadline", &fields.Deadline},
+		{"X-Retry", &fields.Retry},
+	} {
+		values, present := h.header[field.name]
+		switch {
+		case !present:
+			continue
+		case len(values) > 1:
+			return Fields{}, malformed("%s stands more than once", field.name)
+		case values[0] == "":
+			return Fields{}, malformed("%s is empty", field.name)
+		}
+		*field.value = values[0]
 	}
+	return fields, nil
 }
 
 // closes reports whether the sender of the header closes the connection after this message.
--- a/internal/transport/httpwire/query.go
+++ b/internal/transport/httpwire/query.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -24,10 +25,13 @@
 	if class := r.Fields.Class; class != "" && class != r.Class() {
 		return nil, malformed("X-Class is %q, but the path says %q", class, r.Class())
 	}
-	q := &broker.Request{ID: r.Fields.ID, Retry: r.Fields.Retry == "1"}
-	var body Body
-	err := strictjson.Unmarshal(r.Body, &body)
+	retry, err := parseRetry(r.Fields.Retry)
 	if err != nil {
+		return nil, err
+	}
+	q := &broker.Request{ID: r.Fields.ID, Retry: retry}
+	var body Body
+	if err := strictjson.Unmarshal(r.Body, &body); err != nil {
 		return nil, malformed("body: %v", err)
 	}
 	if q.Timeout, err = parseDeadline(r.Fields.Deadline); err != nil {
@@ -50,7 +54,14 @@
 	if err != nil {
 		return 0, malformed("the path's parameters: %v", err)
 	}
+	keys := values["obj"]
+	if len(keys) > 1 {
+		return 0, malformed("the path's parameters: obj stands more than once")
+	}
 	key := values.Get("obj")
+	if !utf8.ValidString(key) {
+		return 0, malformed("the path's parameters: obj is not UTF-8")
+	}
 	if key == "" {
 		return 0, nil
 	}
@@ -60,6 +71,17 @@
 	return xxhash.Sum64String(key), nil
 }
 
+// parseRetry parses the value of X-Retry: 1 marks a retry; 0, and a field that is missing, a first try.
+func parseRetry(s string) (bool, error) {
+	switch s {
+	case "", "0":
+		return false, nil
+	case "1":
+		return true, nil
+	}
+	return false, malformed("X-Retry: cannot read %q", s)
+}
+
 // parseDeadline parses the value of X-Deadline: a number, then m for milliseconds or u for microseconds.
 func parseDeadline(s string) (time.Duration, error) {
 	unit := time.Millisecond
--- a/internal/transport/httpwire/request.go
+++ b/internal/transport/httpwire/request.go
@@ -138,7 +138,11 @@
 	r.chunked = chunkedDecoder{}
 	path, query, _ := strings.Cut(target, "?")
 	r.headSize = h.size
-	r.request = &Request{Method: method, Path: path, Query: query, Fields: h.queryFields(), Close: h.closes(version)}
+	fields, err := h.queryFields()
+	if err != nil {
+		return err
+	}
+	r.request = &Request{Method: method, Path: path, Query: query, Fields: fields, Close: h.closes(version)}
 	r.expectsContinue = version == "HTTP/1.1" && strings.EqualFold(h.header.Get("Expect"), "100-continue")
 	r.buffer.StartMessage()
 	return nil
