Start no attempt for a client that has left, however slowly its bytes are read

Cause: a close was known only once all bytes before it had been read and processed. gRPC reads in turns of 1 KiB, and the Flight front submitted a call as soon as it was handed over. Excluded: the core's inbox was short, and no attempt waited in a link. Later attempts had the same fault on both fronts, behind bytes that are read in turns.

Change: package presence asks the kernel (TCP_INFO, SIOCINQ), which knows of a close as soon as it has arrived. Behind unread bytes only a full receive window, or a cancelled call, can hide a leave, so a client counts as connected for 50 ms after nothing was unread. The core looks at that when it accepts a query, sends an attempt, and just before the first byte; attempts of an unconfirmed client wait. The Flight front submits a call once its client is confirmed. Where the system does not answer, what the front has read counts, as before.

--- a/cmd/mothrouter/departed_client_test.go
+++ b/cmd/mothrouter/departed_client_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/net/http2"
 )
 
 // classRequest returns a query of a class over one partition, with a deadline of 2 s.
@@ -95,3 +97,58 @@
 	_, lastStartedAt := b.ledger.attempts()
 	require.Less(b.t, lastStartedAt.Sub(closedAt), departGrace, "an attempt began after the clients had left")
 }
+
+// departures are the ways in which clients that wait for answers leave, by front. Each has as many queries in flight as the front
+// allows a client, and writes more than the broker reads at once before it closes.
+var departures = map[string]func(b *floodedBroker, id string) (leave func()){
+	"HTTP": func(b *floodedBroker, id string) func() {
+		conn := b.dial()
+		fmt.Fprint(conn, queryRequest(id))
+		return func() {
+			conn.SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
+			fmt.Fprint(conn, strings.Repeat(queryRequest(id), 2000))
+			conn.Close()
+		}
+	},
+	"Flight": func(b *floodedBroker, id string) func() {
+		conn := b.writeCalls(id)
+		return func() {
+			conn.SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
+			framer := http2.NewFramer(conn, nil)
+			for n, err := uint32(100), error(nil); n < 300 && err == nil; n++ {
+				err = writeReset(framer, n)
+			}
+			conn.Close()
+		}
+	},
+}
+
+// Guards against retries for a client that has left while its first attempts ran, with its close behind bytes that are read slowly.
+func TestDepartedClientGetsNoRetry(t *testing.T) {
+	for front, arrive := range departures {
+		for _, flags := range [][]string{nil, {"-cores", coresFile}} {
+			t.Run(strings.Join(append([]string{front}, flags...), " "), func(t *testing.T) {
+				b := startFloodedBrokerWith(t, brokerOptions{flags: flags})
+				b.ledger.serviceTime = 400 * time.Millisecond
+				endFlood := startRequestFlood(b.listen, floodClients, nestedBodyRequest)
+				defer endFlood()
+				time.Sleep(floodLead)
+				var leave []func()
+				for client := range 3 * floodClients {
+					leave = append(leave, arrive(b, fmt.Sprint("left-", client)))
+				}
+				b.awaitAttempts(len(leave))
+				var leaving sync.WaitGroup
+				for _, leaveOne := range leave {
+					leaving.Go(leaveOne)
+				}
+				leaving.Wait()
+				closedAt := time.Now()
+				time.Sleep(floodDuration / 2)
+				attempts, lastStartedAt := b.ledger.attempts()
+				t.Log("attempts:", attempts, "the last one after the close:", lastStartedAt.Sub(closedAt))
+				require.Less(t, lastStartedAt.Sub(closedAt), departGrace, "an attempt began after the clients had left")
+			})
+		}
+	}
+}
--- a/cmd/mothrouter/flood_paths_test.go
+++ b/cmd/mothrouter/flood_paths_test.go
@@ -47,7 +47,7 @@
 	flightFile, fleetFile := filepath.Join(folder, "flight.toml"), filepath.Join(folder, "fleet.toml")
 	require.NoError(t, os.WriteFile(flightFile, fmt.Appendf(nil, "listen = %q\nservers = []\nconnections = 64\n", b.flight), 0o600))
 	require.NoError(t, os.WriteFile(fleetFile, fmt.Appendf(nil, "fleet = \"f\"\nlisten = %q\nseeds = [%q]\n", b.fleet, b.fleet), 0o600))
-	options.flags = []string{"-flight", flightFile, "-fleet", fleetFile}
+	options.flags = append(options.flags, "-flight", flightFile, "-fleet", fleetFile)
 	options.sockets, options.serveDiscovery = 512, b.serveDiscovery
 	b.servingBroker = startServingBrokerWith(t, options)
 	return b
--- a/cmd/mothrouter/serve.go
+++ b/cmd/mothrouter/serve.go
@@ -12,6 +12,7 @@
 	"mothrouter/internal/metrics"
 	"mothrouter/internal/transport/flight"
 	"mothrouter/internal/transport/front"
+	"mothrouter/internal/transport/presence"
 )
 
 // serve opens the listeners for clients and operators and starts serving on them.
@@ -70,7 +71,7 @@
 	p.flightFront = flight.NewFront(flight.Options{
 		Classes: p.startConfig.Classes, Shards: p.startConfig.Shards, MaxConns: p.flightConfig.Connections,
 	}, &drainAwareCore{p.core, p.clientFront.RejectsRequests, p.startConfig.OverloadRetryAfter()})
-	go func() { p.frontErrors <- p.flightFront.Serve(p.scheduler.Listener(l), p.log) }()
+	go func() { p.frontErrors <- p.flightFront.Serve(p.scheduler.Listener(presence.Listener(l)), p.log) }()
 	return nil
 }
 
--- a/internal/broker/attempt.go
+++ b/internal/broker/attempt.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"errors"
 	"time"
 
 	"mothrouter/internal/decision"
@@ -20,20 +21,44 @@
 	pt.attempts++
 	server := b.endpoints.get(a.Server)
 	if err := b.checkRules(pt, a.Server, server); err != nil {
-		b.log.Warn("attempt blocked by a safety rule", "error", err, "server", a.Server, "query", pt.query.request.ID)
-		b.enqueueEvent(decision.AttemptFinished{
-			ID:            pt.id,
-			Attempt:       attempt,
-			Server:        a.Server,
-			Status:        decision.NotSent,
-			PartConcluded: pt.concluded(),
-			LoadReport:    decision.NoLoadReport,
-		})
+		b.blockAttempt(pt, attempt, a.Server, err)
 		return
 	}
 	c := b.newCall(pt, attempt, server, a.Timeout)
 	pt.call = c
 	c.stopTimer = b.after(time.Until(c.Deadline), func() { b.abandonCall(c, decision.TimedOut) })
+	b.dispatch(c)
+}
+
+// blockAttempt finishes an attempt that a rule forbids. If the client has disconnected, its query ends too, although the front may
+// not have read so far.
+func (b *Broker) blockAttempt(pt *part, attempt int, server string, violation error) {
+	if errors.Is(violation, errDisconnected) {
+		b.Disconnect(pt.query.request)
+	} else {
+		b.log.Warn("attempt blocked by a safety rule", "error", violation, "server", server, "query", pt.query.request.ID)
+	}
+	b.enqueueEvent(decision.AttemptFinished{
+		ID:            pt.id,
+		Attempt:       attempt,
+		Server:        server,
+		Status:        decision.NotSent,
+		PartConcluded: pt.concluded(),
+		LoadReport:    decision.NoLoadReport,
+	})
+}
+
+// dispatch passes a call to the link, once its client is known to be connected or to have disconnected. Until then it neither
+// starts nor counts as sent.
+func (b *Broker) dispatch(c *Call) {
+	if c.Finished() {
+		return
+	}
+	if c.part.query.request.clientState() == ClientUnconfirmed {
+		b.after(confirmInterval, func() { b.dispatch(c) })
+		return
+	}
+	c.sentAt = b.clock.now()
 	b.link.Send(c)
 }
 
--- a/internal/broker/call.go
+++ b/internal/broker/call.go
@@ -61,10 +61,10 @@
 }
 
 // MayStart reports whether the rules still allow the first byte, regardless of the call's state: the deadline and the
-// idempotency window have not passed, the client is connected and the server is available. A link checks it again if TryStart
-// has returned true but the server has not accepted any byte for a while.
+// idempotency window have not passed, the client is confirmed to be connected and the server is available. A link checks it
+// again if TryStart has returned true but the server has not accepted any byte for a while.
 func (c *Call) MayStart() bool {
-	if c.Server.Unavailable() || c.part.query.request.disconnected() {
+	if c.Server.Unavailable() || c.part.query.request.clientState() != ClientConnected {
 		return false
 	}
 	return time.Now().Before(c.startBy)
--- a/internal/broker/call_test.go
+++ b/internal/broker/call_test.go
@@ -1,7 +1,6 @@
 package broker_test
 
 import (
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,9 +33,10 @@
 	require.Same(t, queued, <-h.cancelledCalls)
 
 	_, part, _, request = h.submit("q2", idempotent, 1, time.Second)
-	request.Disconnected = new(atomic.Bool)
+	conn := &fakeConn{}
+	request.Conn = conn
 	queued = h.send(part, "s1")
-	request.Disconnected.Store(true) // detected by the front, but Disconnect not called yet
+	conn.set(broker.ClientDisconnected) // detected by the front, but Disconnect not called yet
 	require.False(t, queued.TryStart())
 	require.Equal(t, decision.NotSent, awaitEvent[decision.AttemptFinished](h).Status)
 	h.perform(decision.Send{ID: part, Server: "s2"})
@@ -45,8 +45,8 @@
 	h.broker.Disconnect(request)
 	awaitEvent[decision.ClientDisconnected](h)
 
-	disconnected := &broker.Request{ID: "q3", ReceivedAt: time.Now(), Timeout: time.Second, Parts: []broker.Part{{Shard: 1, Weight: 1}}, Disconnected: new(atomic.Bool)}
-	disconnected.Disconnected.Store(true)
+	disconnected := &broker.Request{ID: "q3", ReceivedAt: time.Now(), Timeout: time.Second, Parts: []broker.Part{{Shard: 1, Weight: 1}}, Conn: &fakeConn{}}
+	disconnected.Conn.(*fakeConn).set(broker.ClientDisconnected)
 	answer := make(client, 1)
 	h.broker.Submit(disconnected, answer)
 	h.updateEndpoints(decision.DeltaUpdate)
--- a/internal/broker/harness_test.go
+++ b/internal/broker/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -159,3 +160,10 @@
 type blockingClient chan struct{}
 
 func (c blockingClient) Finish(broker.Result) { c <- struct{}{}; <-c }
+
+// fakeConn is a ClientConn whose state the test sets.
+type fakeConn struct{ state atomic.Int32 }
+
+func (c *fakeConn) State() broker.ClientState { return broker.ClientState(c.state.Load()) }
+
+func (c *fakeConn) set(state broker.ClientState) { c.state.Store(int32(state)) }
--- a/internal/broker/request.go
+++ b/internal/broker/request.go
@@ -5,7 +5,6 @@
 	"math"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"time"
 )
 
@@ -19,15 +18,10 @@
 	Timeout      time.Duration // how long the client waits, from ReceivedAt
 	TimeoutUnset bool          // ignore Timeout and use the class's deadline in force when the query is accepted
 	Parts        []Part
-	Payload      []byte // sent with each part
-	// Disconnected is set by the front, on any goroutine, as soon as it detects that the client has disconnected. No attempt
-	// starts from then on, even before the loop has processed Disconnect. It is nil if the front cannot detect a disconnect.
-	Disconnected *atomic.Bool
+	Payload      []byte     // sent with each part
+	Conn         ClientConn // no attempt starts once its state is ClientDisconnected; nil: the front cannot detect a disconnect
 }
 
-// disconnected reports whether the front has detected that the client has disconnected.
-func (r *Request) disconnected() bool { return r.Disconnected != nil && r.Disconnected.Load() }
-
 // Part is a part of a request: the work at one shard.
 type Part struct {
 	Shard    int     // from 0
--- a/internal/transport/flight/front.go
+++ b/internal/transport/flight/front.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"log/slog"
 	"net"
-	"sync/atomic"
 	"time"
 
 	"github.com/apache/arrow-go/v18/arrow/array"
@@ -186,8 +185,12 @@
 	if err != nil {
 		return err
 	}
+	conn := callerOf(ctx)
+	if err := conn.await(); err != nil {
+		return err
+	}
+	r.Conn = conn
 	c := make(client, 1)
-	r.Disconnected = new(atomic.Bool)
 	f.core.Submit(r, c)
 	select {
 	case res := <-c:
@@ -196,7 +199,6 @@
 		}
 		return writeAnswer(stream, t, res)
 	case <-ctx.Done():
-		r.Disconnected.Store(true)
 		f.core.Disconnect(r)
 		return status.FromContextError(ctx.Err()).Err()
 	}
--- a/internal/transport/front/conn.go
+++ b/internal/transport/front/conn.go
@@ -3,13 +3,13 @@
 import (
 	"container/list"
 	"net"
-	"sync/atomic"
 	"time"
 
 	"mothrouter/internal/broker"
 	"mothrouter/internal/drain"
 	"mothrouter/internal/transport/fairqueue"
 	"mothrouter/internal/transport/httpwire"
+	"mothrouter/internal/transport/presence"
 )
 
 // conn is one client connection. Its serve goroutine owns it; a second goroutine only reads. Input is processed in turns, so that
@@ -22,18 +22,18 @@
 	wake  chan struct{}      // wakes serve: the stage of a shutdown or drain has changed, or the connection is evicted
 
 	reader       httpwire.RequestReader
-	readCommands chan readCommand // to the reading goroutine
-	readResults  chan readResult  // from the reading goroutine
-	reading      bool             // a read is in progress
-	readingEnded bool             // no further read is started: only requests that have been read are served
-	readPaused   bool             // no read is started until readTimer fires
-	readTimer    *time.Timer      // nil until needed
-	drained      bool             // the latest read has left nothing behind
-	discarding   bool             // the bytes of the read in progress will be discarded
-	discard      []byte           // for bytes that are discarded; nil until needed
-	unparsed     bool             // reader may hold another complete request
-	readLog      readLog          // when the bytes of requests were received
-	disconnected atomic.Bool      // the client has closed the connection
+	readCommands chan readCommand  // to the reading goroutine
+	readResults  chan readResult   // from the reading goroutine
+	reading      bool              // a read is in progress
+	readingEnded bool              // no further read is started: only requests that have been read are served
+	readPaused   bool              // no read is started until readTimer fires
+	readTimer    *time.Timer       // nil until needed
+	drained      bool              // the latest read has left nothing behind
+	discarding   bool              // the bytes of the read in progress will be discarded
+	discard      []byte            // for bytes that are discarded; nil until needed
+	unparsed     bool              // reader may hold another complete request
+	readLog      readLog           // when the bytes of requests were received
+	presence     *presence.Tracker // whether the client has closed the connection
 
 	request        *broker.Request // in flight; nil: none
 	unsubmitted    bool            // request waits until all that its client had sent has been read
@@ -55,12 +55,13 @@
 
 func newConn(f *Front, sock net.Conn) *conn {
 	return &conn{
-		front:   f,
-		sock:    sock,
-		flow:    f.scheduler.NewFlow(),
-		reply:   make(chan broker.Result, 1),
-		wake:    make(chan struct{}, 1),
-		drained: true,
+		front:    f,
+		sock:     sock,
+		flow:     f.scheduler.NewFlow(),
+		reply:    make(chan broker.Result, 1),
+		wake:     make(chan struct{}, 1),
+		drained:  true,
+		presence: presence.NewTracker(sock),
 	}
 }
 
--- a/internal/transport/front/conn_test.go
+++ b/internal/transport/front/conn_test.go
@@ -13,6 +13,7 @@
 
 	"mothrouter/internal/broker"
 	"mothrouter/internal/drain"
+	"mothrouter/internal/transport/fairqueue"
 )
 
 // A request that is read from an idle connection just as the connection is evicted, or ended by a shutdown or drain, is served:
@@ -88,7 +89,7 @@
 	select {
 	case r := <-f.disconnectedRequests:
 		require.Same(t, q.Request, r)
-		require.True(t, r.Disconnected.Load())
+		require.Equal(t, broker.ClientDisconnected, r.Conn.State())
 	case <-time.After(time.Second):
 		require.FailNow(t, "the close was not detected within 1 s")
 	}
@@ -308,3 +309,24 @@
 	require.Equal(t, "HTTP/1.1 200 OK", readStatusLine(t, in))
 	require.Empty(t, f.submissions)
 }
+
+// Guards against later attempts for a client that has closed its connection behind bytes whose turn to be read has not come.
+func TestConnKnowsOfCloseBehindUnreadBytes(t *testing.T) {
+	scheduler := fairqueue.NewScheduler(1)
+	f := newFixture(t, Options{MaxConns: 9, Scheduler: scheduler})
+	client, _, _ := f.dial()
+	fmt.Fprint(client, requestText("q"))
+	q := <-f.submissions
+	require.Equal(t, broker.ClientConnected, q.Request.Conn.State())
+	other := scheduler.NewFlow()
+	other.Wait() // no other connection has a turn from now on
+	_, err := client.Write(make([]byte, 100<<10))
+	require.NoError(t, err)
+	require.NoError(t, client.Close())
+	closedAt := time.Now()
+	require.Eventually(t, func() bool { return q.Request.Conn.State() != broker.ClientConnected }, time.Second, time.Millisecond)
+	require.Less(t, time.Since(closedAt), 100*time.Millisecond)
+	require.Empty(t, f.disconnectedRequests, "the close has been read: the test needs more bytes before it")
+	other.Close()
+	require.Same(t, q.Request, <-f.disconnectedRequests)
+}
--- a/internal/transport/front/readloop.go
+++ b/internal/transport/front/readloop.go
@@ -41,7 +41,7 @@
 	for command := range c.readCommands {
 		r := in.read(command)
 		if r.err != nil && !errors.Is(r.err, os.ErrDeadlineExceeded) {
-			c.disconnected.Store(true)
+			c.presence.MarkClosed()
 		}
 		c.readResults <- r
 	}
--- a/internal/transport/front/respond.go
+++ b/internal/transport/front/respond.go
@@ -81,7 +81,7 @@
 	}
 	r.Class = class
 	r.ReceivedAt = c.readLog.lastByte(c.reader.Unread())
-	r.Disconnected = &c.disconnected
+	r.Conn = c.presence
 	if err := r.Normalize(c.front.opt.Shards); err != nil {
 		return nil, &httpwire.Error{Status: 400, Reason: err.Error()}
 	}
@@ -125,7 +125,7 @@
 // discarded. Lingering connections are evicted first, and hold no buffers.
 func (c *conn) linger() {
 	halfCloser, ok := c.sock.(interface{ CloseWrite() error })
-	if !ok || c.disconnected.Load() {
+	if !ok || c.presence.Closed() {
 		return
 	}
 	_ = halfCloser.CloseWrite() // fails only if the connection has ended
@@ -173,7 +173,7 @@
 	c.readLog = readLog{}
 	c.request, c.out = nil, nil
 	c.front.reserveBuffer(c, 0)
-	return !c.disconnected.Load()
+	return !c.presence.Closed()
 }
 
 // lingerTimeout returns how long the connection lingers, by the stage of the shutdown.
@@ -246,7 +246,10 @@
 	if _, ok := c.interruptRead(); !ok {
 		return true, false
 	}
-	c.readingEnded = stage.closeAll
+	if stage.closeAll {
+		c.readingEnded = true
+		c.presence.IgnoreUnread()
+	}
 	return c.closeAfter || !c.reader.Receiving(), true
 }
 
@@ -257,7 +260,7 @@
 	_, err := c.sock.Write(b)
 	c.flow.Charge(min(time.Since(startedAt), maxWriteTime))
 	if err != nil {
-		c.disconnected.Store(true)
+		c.presence.MarkClosed()
 	}
 	return err == nil
 }
