--- a/internal/broker/clientconn.go
+++ b/internal/broker/clientconn.go
@@ -12,11 +12,11 @@
 type ClientState int
 
 const (
-	// ClientConnected: the client was there at most MaxUnconfirmed ago, or the front cannot detect a disconnect.
+	// ClientConnected means that the client was there at most MaxUnconfirmed ago, or the front cannot detect a disconnect.
 	ClientConnected ClientState = iota
-	// ClientDisconnected: the client has closed its connection or cancelled the request. The state is final.
+	// ClientDisconnected means that the client has closed its connection or cancelled the request. The state is final.
 	ClientDisconnected
-	// ClientUnconfirmed: bytes of the client have been unread for longer, and its disconnect may stand behind them.
+	// ClientUnconfirmed means that bytes of the client have been unread for longer, and its disconnect may stand behind them.
 	ClientUnconfirmed
 )
 
--- a/internal/transport/flight/caller_test.go
+++ b/internal/transport/flight/caller_test.go
@@ -60,7 +60,7 @@
 	t.Cleanup(func() {
 		conn.Close()
 		front.server.Stop()
-		<-served
+		require.NoError(t, <-served)
 	})
 	return core, held, conn
 }
--- a/internal/transport/front/conn_test.go
+++ b/internal/transport/front/conn_test.go
@@ -317,14 +317,14 @@
 	client, _, _ := f.dial()
 	fmt.Fprint(client, requestText("q"))
 	q := <-f.submissions
-	require.Equal(t, broker.ClientConnected, q.Request.Conn.State())
+	require.Equal(t, broker.ClientConnected, q.Conn.State())
 	other := scheduler.NewFlow()
 	other.Wait() // no other connection has a turn from now on
 	_, err := client.Write(make([]byte, 100<<10))
 	require.NoError(t, err)
 	require.NoError(t, client.Close())
 	closedAt := time.Now()
-	require.Eventually(t, func() bool { return q.Request.Conn.State() != broker.ClientConnected }, time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return q.Conn.State() != broker.ClientConnected }, time.Second, time.Millisecond)
 	require.Less(t, time.Since(closedAt), 100*time.Millisecond)
 	require.Empty(t, f.disconnectedRequests, "the close has been read: the test needs more bytes before it")
 	other.Close()
--- a/internal/transport/presence/presence_test.go
+++ b/internal/transport/presence/presence_test.go
@@ -62,7 +62,7 @@
 	client, server := connect(t)
 	tracker := NewTracker(server)
 	go func() {
-		client.Write(make([]byte, 64<<20)) // more than any window
+		_, _ = client.Write(make([]byte, 64<<20)) // more than any window: it fails once the test has ended
 		client.Close()
 	}()
 	time.Sleep(2 * broker.MaxUnconfirmed)
