Call discovery again in time for what counts as told, in fleets of any size

Cause: scheduleCall took every missed update to count 6 s later, also behind a watch that had ended, and the first call to a new address dropped the 4 s of SIGHUP. Excluded by the record of the case: the agent answered one call of each broker at once, 0.36 to 1.27 s after it had the drain, and the last late parts were sent just before.

Change: maxWait bounds each wait by the time at which an update counts that may have been missed: 100 ms after a watch or call that has ended although discovery answered, and before the first call; a quarter of what is left of 3.7 s after SIGHUP, and of 1.7 s after the start, until a message has come. The waits double after five calls in a row that end within 2.6 s.

--- a/internal/endpoints/discovery/call.go
+++ b/internal/endpoints/discovery/call.go
@@ -58,7 +58,7 @@
 // sendEvent sends a message or the end of the call, unless ctx is cancelled.
 func (c *call) sendEvent(ctx context.Context, text []byte, err error) {
 	select {
-	case c.events <- callEvent{call: c.id, text: bytes.Clone(text), err: err}:
+	case c.events <- callEvent{call: c.id, text: bytes.Clone(text), err: err, reached: c.lines.Status() == statusOK}:
 	case <-ctx.Done():
 	}
 }
--- a/internal/endpoints/discovery/discovery.go
+++ b/internal/endpoints/discovery/discovery.go
@@ -48,9 +48,10 @@
 
 // callEvent is a message received by a call, or the end of the call.
 type callEvent struct {
-	call int    // ID of the call
-	text []byte // JSON object; empty: a keepalive
-	err  error  // error that ended the call; nil: the call continues
+	call    int    // ID of the call
+	text    []byte // JSON object; empty: a keepalive
+	err     error  // error that ended the call; nil: the call continues
+	reached bool   // whether discovery has answered the call with statusOK
 }
 
 // Run watches the endpoint list until ctx is cancelled. Each call has its own goroutine, which only sends the request and reads
@@ -140,7 +141,7 @@
 	}
 	r.Log.Info("endpoint watch ended", "error", err, "since", r.Since)
 	r.endCall(event.call)
-	r.perform(r.watch.CallEnded(time.Now(), event.call))
+	r.perform(r.watch.CallEnded(time.Now(), event.call, event.reached))
 }
 
 // OlderVersionError is the error of a message whose version is older than that of the current endpoint list.
--- a/internal/endpoints/listwatch/listwatch.go
+++ b/internal/endpoints/listwatch/listwatch.go
@@ -29,6 +29,17 @@
 	// addressChangeDeadline is the time after a change of address by which a missed update must be applied: 4 s minus the time to
 	// apply it.
 	addressChangeDeadline = 3700 * time.Millisecond
+	// startDeadline is the same after the start: at an upgrade, updates take effect in the new process 2 s after it is ready.
+	startDeadline = 1700 * time.Millisecond
+	// reopenWait is the maximum wait after a watch or call that has ended although discovery could be reached. A change that discovery
+	// has takes effect 250 ms later, and on sockets 300 ms. The wait leaves time for a process that is held up for 150 ms.
+	reopenWait = 100 * time.Millisecond
+	// reopenBurst is how many calls in a row that end within SilenceTimeout are followed by a wait of reopenWait. Later waits double.
+	reopenBurst = 5
+	// deadlineFraction is the fraction of the time left until a deadline that a wait may take, so that several calls fit before it.
+	deadlineFraction = 4
+	// maxDoublings bounds how often a wait doubles; waits are bounded by updateDeadline long before.
+	maxDoublings = 10
 	// maxCalls is the maximum number of open calls to the current address.
 	maxCalls = 2
 )
@@ -55,31 +66,47 @@
 	lastCallID       int
 	lastMessageAt    time.Time
 	nextCallDeadline time.Time // latest start of the next call, if one is scheduled; zero: no call has been started yet
-	nextCallAt       time.Time // start of the next call; zero: no call is scheduled
-	pendingActions   []Action  // actions that have not been returned yet
+	// firstMessageDeadline is when an update of an address that has sent no message yet must be applied; zero: it has sent one.
+	firstMessageDeadline time.Time
+	endedInARow          int       // calls that have ended within SilenceTimeout, in a row, although discovery could be reached
+	nextCallAt           time.Time // start of the next call; zero: no call is scheduled
+	pendingActions       []Action  // actions that have not been returned yet
 }
 
 // New returns a watch whose first call starts after the initial wait of the backoff.
 func New(callBackoff *backoff.Backoff, now time.Time) *Watch {
-	w := &Watch{backoff: callBackoff}
+	w := &Watch{backoff: callBackoff, firstMessageDeadline: now.Add(startDeadline)}
 	w.scheduleCall(now)
 	return w
 }
 
-// scheduleCall schedules the next call after a wait. The call starts no later than nextCallDeadline, or now if that has passed,
-// so that the call times out before a missed update must be applied. An update that discovery could not send takes effect 6 s
-// after discovery can send again, however many calls have failed, so the increasing waits of the backoff must not delay a call
-// beyond that.
+// scheduleCall schedules the next call after a wait, or now if it is late already. An update that discovery could not send takes
+// effect however many calls have failed, so the increasing waits of the backoff must not delay a call beyond maxWait.
 func (w *Watch) scheduleCall(now time.Time) {
-	timeLeft := time.Duration(0) // the wait before the first call is not limited
-	if !w.nextCallDeadline.IsZero() {
-		timeLeft = w.nextCallDeadline.Sub(now)
-		if timeLeft <= 0 {
-			w.nextCallAt = now
-			return
-		}
+	if w.nextCallDeadline.IsZero() {
+		w.nextCallAt = now.Add(w.backoff.Next(reopenWait)) // the first call: an update that discovery has takes effect at once
+		return
+	}
+	maxWait := w.maxWait(now)
+	if maxWait <= 0 {
+		w.nextCallAt = now
+		return
+	}
+	w.nextCallAt = now.Add(w.backoff.Next(maxWait))
+}
+
+// maxWait returns the maximum wait before the next call, by the time at which an update that the broker may have missed takes
+// effect. It is 0 or less if the call is late already.
+func (w *Watch) maxWait(now time.Time) time.Duration {
+	longest := w.nextCallDeadline.Sub(now)
+	if w.endedInARow > 0 {
+		doublings := min(max(w.endedInARow-reopenBurst, 0), maxDoublings)
+		longest = min(longest, reopenWait<<doublings)
 	}
-	w.nextCallAt = now.Add(w.backoff.Next(timeLeft))
+	if left := w.firstMessageDeadline.Sub(now); left > 0 {
+		longest = min(longest, max(left/deadlineFraction, reopenWait))
+	}
+	return longest
 }
 
 // WakeAt returns the time at which to call Tick if no event occurs earlier. The zero time means that Tick is not needed before
@@ -114,6 +141,7 @@
 func (w *Watch) Tick(now time.Time) []Action {
 	if c := w.currentCall(); c != nil && !c.suspect && !now.Before(w.silenceDeadline(c)) {
 		c.suspect = true
+		w.endedInARow = 0
 		w.scheduleCall(now)
 	}
 	if !w.nextCallAt.IsZero() && !now.Before(w.nextCallAt) {
@@ -171,6 +199,7 @@
 	w.lastMessageAt = now
 	w.nextCallDeadline = now.Add(updateDeadline - CallTimeout)
 	w.nextCallAt = time.Time{}
+	w.firstMessageDeadline = time.Time{}
 	w.backoff.Succeeded()
 	for _, c := range w.calls {
 		if c.id != id {
@@ -180,8 +209,9 @@
 	return w.takeActions()
 }
 
-// CallEnded handles a call that has ended or failed without being closed by an Action. It returns the actions for the driver.
-func (w *Watch) CallEnded(now time.Time, id int) []Action {
+// CallEnded handles a call that has ended or failed without being closed by an Action. reached is whether discovery has answered the
+// call: what it has takes effect at once then. It returns the actions for the driver.
+func (w *Watch) CallEnded(now time.Time, id int, reached bool) []Action {
 	current := w.currentCall()
 	wasCurrent := current != nil && current.id == id && !current.suspect // if false, another call is open or scheduled
 	w.removeCall(id)
@@ -191,10 +221,23 @@
 	if c := w.currentCall(); c != nil {
 		c.suspect = true
 	}
+	w.countEnd(now.Sub(current.startedAt), reached)
 	w.scheduleCall(now)
 	return w.takeActions()
 }
 
+// countEnd counts a call that has ended after it was open for a time.
+func (w *Watch) countEnd(open time.Duration, reached bool) {
+	if !reached {
+		w.endedInARow = 0
+		return
+	}
+	if open >= SilenceTimeout {
+		w.endedInARow = 0
+	}
+	w.endedInARow++
+}
+
 // AddressChanged starts to watch the list at another address. Updates from the old address are applied until the new one has
 // sent a message. It returns the actions for the driver.
 func (w *Watch) AddressChanged(now time.Time) []Action {
@@ -207,6 +250,8 @@
 		w.calls[i].formerAddress = true
 	}
 	w.nextCallDeadline = now.Add(addressChangeDeadline - CallTimeout)
+	w.firstMessageDeadline = now.Add(addressChangeDeadline)
+	w.endedInARow = 0
 	w.backoff.Succeeded() // the new address has not failed yet
 	w.scheduleCall(now)
 	return w.takeActions()
