Check a Flight part for the last time once gRPC has a stream for it

Cause: Call.TryStart ran when gRPC asked for a call's credentials, and gRPC waits for a stream after that.

Change: a stream interceptor runs the check before the ticket is written, which alone names the part. The credentials still stop gRPC's transparent retries, and calls that may no longer start by then. A call whose time is up while it waits for a stream has never run.

--- a/internal/transport/flight/channel.go
+++ b/internal/transport/flight/channel.go
@@ -52,6 +52,7 @@
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		// The broker decides on all attempts of a part, so gRPC must not retry.
 		grpc.WithDisableRetry(),
+		grpc.WithStreamInterceptor(gateStream),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithIdleTimeout(l.idleLimit()),
 		grpc.WithConnectParams(grpc.ConnectParams{
--- a/internal/transport/flight/link.go
+++ b/internal/transport/flight/link.go
@@ -99,7 +99,7 @@
 		return broker.ResultOf(decision.NotSent)
 	}
 	g := &gate{call: c}
-	stream, err := ch.client.DoGet(ctx, &flight.Ticket{Ticket: ticket}, grpc.PerRPCCredentials(g))
+	stream, err := ch.client.DoGet(withGate(ctx, g), &flight.Ticket{Ticket: ticket}, grpc.PerRPCCredentials(g))
 	if err != nil {
 		return failedResult(err, g)
 	}
@@ -113,7 +113,7 @@
 	return r
 }
 
-// failedResult returns the result of a call that ended without an answer. The call cannot have run if its header was never
+// failedResult returns the result of a call that ended without an answer. The call cannot have run if its ticket was never
 // written or the server rejected it. Otherwise it may have run, even if the stream ended without a status.
 func failedResult(err error, g *gate) broker.CallResult {
 	switch {
