--- a/internal/transport/flight/gate.go
+++ b/internal/transport/flight/gate.go
@@ -67,7 +67,9 @@
 type gateKey struct{}
 
 // withGate returns a context for a call with a gate.
-func withGate(ctx context.Context, g *gate) context.Context { return context.WithValue(ctx, gateKey{}, g) }
+func withGate(ctx context.Context, g *gate) context.Context {
+	return context.WithValue(ctx, gateKey{}, g)
+}
 
 // gateStream is a grpc.StreamClientInterceptor. The messages of a call with a gate pass it before they are written.
 func gateStream(ctx context.Context, desc *grpc.StreamDesc, conn *grpc.ClientConn, method string, open grpc.Streamer,
