Play Flight clients that leave on several cores, too

Need: TestClosedFlightConnectionSendsNothingOn knew one core only. Change: a case with -cores beside nested bodies.

--- a/cmd/mothrouter/flood_paths_test.go
+++ b/cmd/mothrouter/flood_paths_test.go
@@ -320,10 +320,18 @@
 // Guards against attempts for Flight clients that have closed their connections with calls unread, also while HTTP clients send at
 // full speed (issue 42, picture c, on the other front).
 func TestClosedFlightConnectionSendsNothingOn(t *testing.T) {
-	for name, clients := range map[string]int{"alone": 0, "beside nested bodies": floodClients} {
-		t.Run(name, func(t *testing.T) {
-			b := startFloodedBroker(t)
-			endFlood := startRequestFlood(b.listen, clients, nestedBodyRequest)
+	for _, c := range []struct {
+		name    string
+		clients int
+		flags   []string
+	}{
+		{"alone", 0, nil},
+		{"beside nested bodies", floodClients, nil},
+		{"beside nested bodies, on several cores", floodClients, []string{"-cores", coresFile}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := startFloodedBrokerWith(t, brokerOptions{flags: c.flags})
+			endFlood := startRequestFlood(b.listen, c.clients, nestedBodyRequest)
 			time.Sleep(floodLead)
 			var conns []net.Conn
 			for client := range floodClients {
