Ask the kernel once a millisecond for a client, and never trust a new connection

Seen: each attempt asked the kernel three times, 1.4 µs and two system calls each, also for the many parts of one query; and a new connection counted as confirmed, though its client may have left while it waited to be accepted.

Change: a client that was confirmed within the last millisecond is not checked again (46 ns); a new connection is unconfirmed.

Result: TestStateOfConnectionClosedBeforeAccept passes, and fails if a new connection counts as confirmed. The tests of presence, flight and front pass three times with -race.

--- a/internal/transport/presence/presence.go
+++ b/internal/transport/presence/presence.go
@@ -28,10 +28,17 @@
 	confirmedAt  atomic.Int64 // time since start, in nanoseconds
 }
 
+// recheckInterval is how long a confirmed client is not checked again, so that the many parts of a query cost few system calls.
+const recheckInterval = time.Millisecond
+
+// neverConfirmed is the time in Tracker.confirmedAt before the first confirmation: the client of a new connection may have closed it
+// before it was accepted.
+const neverConfirmed = -time.Hour
+
 // start is the origin of the times in Tracker.confirmedAt.
 var start = time.Now()
 
-// NewTracker returns a tracker of a connection on which all that is read is processed at once. The client counts as confirmed.
+// NewTracker returns a tracker of a connection on which all that is read is processed at once.
 func NewTracker(conn net.Conn) *Tracker { return newTracker(conn, func() bool { return true }) }
 
 func newTracker(conn net.Conn, processed func() bool) *Tracker {
@@ -41,7 +48,7 @@
 			t.socket = socket
 		}
 	}
-	t.confirm()
+	t.confirmedAt.Store(int64(neverConfirmed))
 	return t
 }
 
@@ -59,6 +66,9 @@
 	if t.closed.Load() {
 		return broker.ClientDisconnected
 	}
+	if t.unconfirmedFor() < recheckInterval {
+		return broker.ClientConnected
+	}
 	unread, open := t.querySocket()
 	switch {
 	case !open:
@@ -66,7 +76,7 @@
 		return broker.ClientDisconnected
 	case (unread == 0 || t.ignoreUnread.Load()) && t.processed(): // in this order: bytes may be read in between
 		t.confirm()
-	case time.Since(start)-time.Duration(t.confirmedAt.Load()) > broker.MaxUnconfirmed:
+	case t.unconfirmedFor() > broker.MaxUnconfirmed:
 		return broker.ClientUnconfirmed
 	}
 	return broker.ClientConnected
@@ -74,6 +84,11 @@
 
 func (t *Tracker) confirm() { t.confirmedAt.Store(int64(time.Since(start))) }
 
+// unconfirmedFor returns how long ago the client was last confirmed.
+func (t *Tracker) unconfirmedFor() time.Duration {
+	return time.Since(start) - time.Duration(t.confirmedAt.Load())
+}
+
 // querySocket returns how many bytes the socket has received that have not been read, and whether neither side has closed it. What
 // the system does not tell is taken to be 0 and open.
 func (t *Tracker) querySocket() (unread int, open bool) {
