--- a/internal/transport/flight/front.go
+++ b/internal/transport/flight/front.go
@@ -71,7 +71,8 @@
 	return f
 }
 
-// Serve accepts connections until Stop.
+// Serve accepts connections until Stop. The listener is based on a presence.Listener; on other connections a close is known only once
+// it has been read.
 func (f *Front) Serve(l net.Listener, log *slog.Logger) error {
 	log.Info("serving Arrow Flight", "listen", l.Addr().String())
 	return f.server.Serve(netutil.LimitListener(l, max(f.opt.MaxConns, 1)))
