Hold the attempts of clients that send much only while they are unconfirmed

Cause: the HTTP front submits a query once its socket has been read empty, but the tracker of the connection was not told. What came next made the client unconfirmed before it was ever asked about, so its first attempt waited, and held the query's slots, up to the deadline.

Change: a read that leaves nothing confirms the client, and an attempt waits for 0.15 s at most before the decision module decides anew.

TestConnIsConfirmedBySubmission fails without the confirmation, TestAttemptWaitsForConfirmationForShortTime without the bound.

--- a/internal/broker/attempt.go
+++ b/internal/broker/attempt.go
@@ -27,7 +27,7 @@
 	c := b.newCall(pt, attempt, server, a.Timeout)
 	pt.call = c
 	c.stopTimer = b.after(time.Until(c.Deadline), func() { b.abandonCall(c, decision.TimedOut) })
-	b.dispatch(c)
+	b.dispatch(c, time.Now().Add(maxConfirmWait))
 }
 
 // blockAttempt finishes an attempt that a rule forbids. If the client has disconnected, its query ends too, although the front may
@@ -49,13 +49,18 @@
 }
 
 // dispatch passes a call to the link, once its client is known to be connected or to have disconnected. Until then it neither
-// starts nor counts as sent.
-func (b *Broker) dispatch(c *Call) {
+// starts nor counts as sent. After waitUntil it finishes as NotSent, so that a client that sends more than is read holds its slots
+// for a short time only.
+func (b *Broker) dispatch(c *Call, waitUntil time.Time) {
 	if c.Finished() {
 		return
 	}
 	if c.part.query.request.clientState() == ClientUnconfirmed {
-		b.after(confirmInterval, func() { b.dispatch(c) })
+		if !time.Now().Before(waitUntil) {
+			c.Finish(ResultOf(decision.NotSent))
+			return
+		}
+		b.after(confirmInterval, func() { b.dispatch(c, waitUntil) })
 		return
 	}
 	c.sentAt = b.clock.now()
--- a/internal/broker/clientconn.go
+++ b/internal/broker/clientconn.go
@@ -27,6 +27,9 @@
 
 	// confirmInterval is how often an attempt that waits for its client's confirmation checks it.
 	confirmInterval = 5 * time.Millisecond
+
+	// maxConfirmWait is how long an attempt waits for its client's confirmation at most, before the Decider decides anew.
+	maxConfirmWait = 150 * time.Millisecond
 )
 
 // clientState returns the state of the request's client.
--- a/internal/broker/clientconn_test.go
+++ b/internal/broker/clientconn_test.go
@@ -69,3 +69,13 @@
 	time.Sleep(20 * time.Millisecond)
 	require.Empty(t, h.sentCalls)
 }
+
+// Guards against clients that send more than is read and hold the slots of others until their deadlines.
+func TestAttemptWaitsForConfirmationForShortTime(t *testing.T) {
+	h := newHarness(t)
+	startedAt := time.Now()
+	_, _ = submitUnconfirmed(h, 4*time.Second)
+	require.Equal(t, decision.NotSent, awaitEvent[decision.AttemptFinished](h).Status)
+	require.Less(t, time.Since(startedAt), time.Second)
+	require.Empty(t, h.sentCalls)
+}
--- a/internal/transport/front/conn_test.go
+++ b/internal/transport/front/conn_test.go
@@ -330,3 +330,24 @@
 	other.Close()
 	require.Same(t, q.Request, <-f.disconnectedRequests)
 }
+
+// Guards against attempts that wait although the socket was read empty when the query was submitted: hundreds of clients that send
+// much behind a request held the slots of others for seconds.
+func TestConnIsConfirmedBySubmission(t *testing.T) {
+	scheduler := fairqueue.NewScheduler(1)
+	f := newFixture(t, Options{MaxConns: 9, Scheduler: scheduler})
+	client, _, _ := f.dial()
+	fmt.Fprint(client, requestText("q"))
+	submittedAt := time.Now()
+	q := <-f.submissions
+	other := scheduler.NewFlow()
+	other.Wait() // what comes now is not read
+	defer other.Close()
+	go func() { _, _ = client.Write(make([]byte, 1<<20)) }() // it ends with the connection
+	time.Sleep(10 * time.Millisecond)
+	state := q.Conn.State()
+	if time.Since(submittedAt) < broker.MaxUnconfirmed {
+		require.Equal(t, broker.ClientConnected, state)
+	}
+	require.Eventually(t, func() bool { return q.Conn.State() == broker.ClientUnconfirmed }, time.Second, time.Millisecond)
+}
--- a/internal/transport/front/readloop.go
+++ b/internal/transport/front/readloop.go
@@ -40,6 +40,9 @@
 func (c *conn) readLoop(in socketReader) {
 	for command := range c.readCommands {
 		r := in.read(command)
+		if r.drained {
+			c.presence.Confirm()
+		}
 		if r.err != nil && !errors.Is(r.err, os.ErrDeadlineExceeded) {
 			c.presence.MarkClosed()
 		}
--- a/internal/transport/presence/presence.go
+++ b/internal/transport/presence/presence.go
@@ -75,14 +75,15 @@
 		t.closed.Store(true)
 		return broker.ClientDisconnected
 	case (unread == 0 || t.ignoreUnread.Load()) && t.processed(): // in this order: bytes may be read in between
-		t.confirm()
+		t.Confirm()
 	case t.unconfirmedFor() > broker.MaxUnconfirmed:
 		return broker.ClientUnconfirmed
 	}
 	return broker.ClientConnected
 }
 
-func (t *Tracker) confirm() { t.confirmedAt.Store(int64(time.Since(start))) }
+// Confirm records that the connection was open just now and that nothing was left to read.
+func (t *Tracker) Confirm() { t.confirmedAt.Store(int64(time.Since(start))) }
 
 // unconfirmedFor returns how long ago the client was last confirmed.
 func (t *Tracker) unconfirmedFor() time.Duration {
