Let the test of a departed client fail if its query does not end

Cause: the query's deadline of 1 s ended it within the 2 s for which the test waits, so the test passed without the call that it guards. Change: a deadline of 4 s in the test. No product code differs. Result: without that call the test fails, as it should; with it, the tests of the core pass twice with -race.

--- a/internal/broker/clientconn_test.go
+++ b/internal/broker/clientconn_test.go
@@ -51,7 +51,7 @@
 // An attempt that waits for its client's confirmation is never sent if the client has disconnected, and its query ends.
 func TestWaitingAttemptIsNotSentAfterDisconnect(t *testing.T) {
 	h := newHarness(t)
-	conn, part := submitUnconfirmed(h, time.Second)
+	conn, part := submitUnconfirmed(h, 4*time.Second)
 	conn.set(broker.ClientDisconnected)
 	require.False(t, (<-h.sentCalls).TryStart())
 	require.Equal(t, decision.NotSent, awaitEvent[decision.AttemptFinished](h).Status)
